--- /dev/null
+++ b/src/rules.cpp
@@ -0,0 +1,606 @@
+// The decisions of mintrock. The interface (settings, events, actions) is include/mintrock/controller.hpp.
+//
+// The ordinary path is DSRT (Kagrecha and Nair, "Please come back later", section III): a call that meets no
+// room is held here for one later try, the tries spaced x apart, at most D of them; what finds no room then
+// is refused. docs/design.md tells what was kept, what was added, and when each addition acts.
+//
+// The file follows a call: constants, what is kept of calls and servers, a call comes in (or its try falls
+// due), has a server room, holding, sending, what comes back, ending; then the list of servers and reports.
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <limits>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "mintrock/controller.hpp"
+
+namespace mintrock {
+namespace {
+
+// ---- Constants ----
+
+// x, the spacing of held tries: the recent mean delay of set-ups that stood.
+constexpr double kSpacingGain = 0.1;     // share of a new delay in x: about the last ten
+constexpr double kSpacingLeast = 0.001;  // s; x stays above 0
+
+// A full answer marks its server for x, at least this: sooner, the queue can't have moved much.
+constexpr double kMarkLeast = 0.2;  // s
+
+// How soon a wait counts as 'no room'. A full queue here is far longer than the aim: by the time that full
+// answers come, every call is late.
+constexpr double kRoomAim = 0.4;       // share of the aim; the rest is for others' calls in the same queue
+constexpr double kRoomRepeat = 0.8;    // share of the time after which set-ups are repeated, which is work
+constexpr double kRoomLowWorth = 0.6;  // a worthless call sees this share of the room that the best one sees
+
+// How old evidence of a wait fades, in seconds of wait for each second that passes.
+constexpr double kWaitDrain = 0.5;  // others go on sending, so a queue drains slower than time passes
+constexpr double kWaitGain = 0.5;   // share of a new delay in a server's wait
+
+// Weights of the draw: fall at once with a longer set-up delay, come back slowly.
+constexpr double kWeightFall = 0.5;
+constexpr double kWeightReturn = 0.1;
+constexpr double kWeightFloor = 0.05;  // s added to each delay, so that no server takes all
+
+// Suspicion: a server that loses set-ups is left alone, then tried by one single set-up, at doubling gaps.
+constexpr int kStrikesToSuspect = 2;     // unanswered set-ups in a row; one may be chance
+constexpr double kSuspectFirst = 0.5;    // s until the first trial
+constexpr double kSuspectLongest = 8.0;  // s between trials at most
+constexpr double kCutsTogether = 0.3;    // s; this many standing calls cut within it mean a crash
+constexpr std::size_t kCutsToSuspect = 2;
+
+// Cold servers: share of the allowed load that all senders together aim at. The rest is for chance, for
+// repeats that are not seen here, and for senders whose calls grow.
+constexpr double kColdMargin = 0.5;
+constexpr double kRateWindow = 4.0;        // s over which a server's rate of set-ups is seen
+constexpr std::size_t kUnprovenStart = 2;  // set-ups a fall window to a server not yet confirmed, and twice
+                                           // what stood there in that window on top
+
+// A redialled call has lost some of its time for full worth already; how much is not told.
+constexpr double kRedialWorth = 0.5;
+
+// An attempt is given up this long before the caller's own end, so that the final answer is in time.
+constexpr double kEndMargin = 0.05;  // s
+constexpr double kLeastTry = 0.05;   // s; with less left a set-up is not worth sending
+
+constexpr double kListRetry = 1.0;  // s until a failed list subscription is asked for again
+constexpr std::uint64_t kListTimer = 0;
+
+constexpr Time kNever = std::numeric_limits<double>::infinity();
+
+// ---- What is kept ----
+
+struct Call {
+  enum class State {
+    kArriving,
+    kInFlight,         // one attempt is out
+    kHeld,             // no room: waits for its one spaced try
+    kAwaitingRelease,  // an attempt ended in doubt: nothing may be sent yet
+    kStanding,
+  };
+  CallId id = 0;
+  std::uint32_t call_class = 0;
+  std::uint64_t key = 0;
+  double lines = 1;
+  std::int64_t first_choice = -1;
+  double worth = 1;       // what serving it is worth now, over the best worth of the site
+  Time aim_end = 0;       // stands by then: full worth
+  Time end = 0;           // the final answer is due before
+  Time not_before = 0;    // release is awaited until then
+  bool in_doubt = false;  // some attempt may have run
+  State state = State::kArriving;
+  std::uint32_t generation = 0;  // timers of earlier states carry another one
+  std::uint32_t attempts = 0;
+  ServerId server = 0;  // of the last attempt
+  Time sent = 0;
+};
+
+struct Server {
+  ServerEntry entry;
+  bool listed = false;        // ready in the list; else nothing new goes there
+  Time cold_until = -kNever;  // counts as cold until then
+  bool unproven = false;      // only a cached list tells of it
+
+  Time marked_until = -kNever;  // answered full
+  double wait = 0;              // s; as the last set-ups that stood saw it
+  Time wait_at = -kNever;
+  std::set<std::pair<Time, CallId>> unanswered;  // own set-ups out, oldest first
+  double slow_delay = 0;                         // s; weights of the draw
+  double told_wait = 0;                          // s; by report
+  Time told_at = -kNever;
+  double told_allowed = 0;      // set-ups a second, by report
+  std::optional<double> spare;  // free lines
+
+  int strikes = 0;  // set-ups lost in a row
+  bool suspect = false;
+  bool may_be_new = false;  // suspected of a crash: cold when it comes back
+  Time trial_at = -kNever;  // next single trial while suspect
+  double trial_gap = kSuspectFirst;
+  std::deque<Time> cuts;  // standing calls cut, lately
+
+  std::deque<Time> sends;  // attempts within the fall window
+  std::deque<Time> stood;  // stood within the rate window
+};
+
+bool usable(double value) { return std::isfinite(value) && value >= 0; }
+
+}  // namespace
+
+class Controller::Impl {
+ public:
+  Impl(const Settings& settings, std::uint64_t seed) : settings_(settings), random_(seed) {
+    for (const Settings::Class& c : settings_.classes) best_worth_ = std::max(best_worth_, c.value);
+    if (settings_.fleet_size == 0) settings_.fleet_size = 1;
+  }
+
+  void handle(Time now, const Event& event, std::vector<Action>& actions) {
+    now_ = now;
+    actions_ = &actions;
+    if (start_ == -kNever) start_ = now;
+    std::visit([this](const auto& e) { on(e); }, event);
+  }
+
+ private:
+  // ---- A call comes in ----
+
+  void on(const Started&) {
+    if (settings_.asks_for_list) emit(Subscribe{});
+  }
+
+  void on(const NewCall& e) {
+    if (calls_.count(e.call) != 0) return;
+    Call& call = calls_[e.call];
+    call.id = e.call;
+    call.call_class = e.call_class;
+    call.key = e.key;
+    call.lines = usable(e.lines) ? e.lines : 1;
+    call.first_choice = e.first_choice;
+    call.aim_end = now_ + class_of(call).aim_s;
+    call.end = now_ + (usable(e.ttl_s) ? e.ttl_s : 0) - kEndMargin;
+    call.worth = worth_of(call, e);
+    if (Server* server = route(call)) {
+      send(call, *server);
+    } else {
+      hold_or_refuse(call);
+    }
+  }
+
+  // Under pressure room goes by worth, so that what is lost is worth least.
+  double worth_of(const Call& call, const NewCall& e) {
+    double worth = class_of(call).value / best_worth_;
+    if (e.redialled && !e.was_cut) worth *= kRedialWorth;
+    return worth;
+  }
+
+  // The first choice while it has room, else a weighted draw over the other allowed servers with room.
+  Server* route(const Call& call) {
+    for (auto& [id, server] : servers_) {
+      if (first_choice(call, server) && allowed(call, server) && has_room(call, server)) return &server;
+    }
+    return draw(call, true);
+  }
+
+  // A held call's try falls due: one draw over all allowed servers; no room there refuses the call.
+  void try_held(Call& call) {
+    Server* server = draw(call, false);
+    if (server != nullptr && has_room(call, *server)) {
+      send(call, *server);
+    } else {
+      refuse(call);
+    }
+  }
+
+  Server* draw(const Call& call, bool with_room) {
+    std::vector<std::pair<Server*, double>> drawn;
+    double total = 0;
+    for (auto& [id, server] : servers_) {
+      if (!allowed(call, server) || server.suspect) continue;
+      if (with_room && !has_room(call, server)) continue;
+      const double delay = server.slow_delay + kWeightFloor;
+      const double weight = (usable(server.entry.weight) ? server.entry.weight : 1) / (delay * delay);
+      total += weight;
+      drawn.emplace_back(&server, weight);
+    }
+    if (drawn.empty() && !with_room) return draw_suspect(call);
+    if (drawn.empty()) return draw_suspect(call);
+    double mark = uniform() * total;
+    for (auto& [server, weight] : drawn) {
+      mark -= weight;
+      if (mark < 0) return server;
+    }
+    return drawn.back().first;
+  }
+
+  // Suspects are tried only where no other server would have been drawn.
+  Server* draw_suspect(const Call& call) {
+    for (auto& [id, server] : servers_) {
+      if (server.suspect && allowed(call, server) && has_room(call, server)) return &server;
+    }
+    return nullptr;
+  }
+
+  // ---- Has a server room? ----
+
+  bool first_choice(const Call& call, const Server& server) const {
+    return call.first_choice >= 0 && server.entry.node == static_cast<std::uint64_t>(call.first_choice);
+  }
+
+  bool allowed(const Call& call, const Server& server) const {
+    if (!server.listed) return false;
+    const std::vector<std::uint32_t>& nodes = class_of(call).nodes;
+    return nodes.empty() || std::find(nodes.begin(), nodes.end(), server.entry.node) != nodes.end();
+  }
+
+  bool has_room(const Call& call, Server& server) {
+    if (now_ < server.marked_until) return false;
+    if (server.spare && *server.spare < call.lines) return false;
+    if (server.suspect && (now_ < server.trial_at || !server.unanswered.empty())) return false;
+    if (!within_cold_budget(server)) return false;
+    return expected_wait(server) <= room_limit(call);
+  }
+
+  // What a set-up sent now would wait, by all that is known here: how long own set-ups are out already, how
+  // long the last ones took, and what the server reported. Old evidence fades.
+  double expected_wait(const Server& server) const {
+    double wait = std::max(0.0, server.wait - kWaitDrain * (now_ - server.wait_at));
+    wait = std::max(wait, server.told_wait - kWaitDrain * (now_ - server.told_at));
+    if (!server.unanswered.empty()) wait = std::max(wait, now_ - server.unanswered.begin()->first);
+    return wait;
+  }
+
+  double room_limit(const Call& call) const {
+    double limit = kRoomAim * class_of(call).aim_s;
+    if (settings_.repeat_after_s > 0) limit = std::min(limit, kRoomRepeat * settings_.repeat_after_s);
+    limit *= kRoomLowWorth + (1 - kRoomLowWorth) * call.worth;
+    const Time end = now_ < call.aim_end ? std::min(call.aim_end, call.end) : call.end;
+    return std::min(limit, end - now_);
+  }
+
+  // The fourth rule. All senders together must stay under factor x present capacity. Each takes its own part:
+  // what itself saw a warm server of the kind take, which summed over all senders is at most a warm server's
+  // capacity; or its share of what the server says that it can take.
+  bool within_cold_budget(Server& server) {
+    const bool cold = now_ < server.cold_until;
+    if (!cold && !server.unproven) return true;
+    while (!server.sends.empty() && server.sends.front() <= now_ - settings_.fall_s) server.sends.pop_front();
+    const double sent = static_cast<double>(server.sends.size());
+    if (!cold) {
+      const auto since = std::upper_bound(server.stood.begin(), server.stood.end(), now_ - settings_.fall_s);
+      return sent < kUnprovenStart + 2.0 * static_cast<double>(server.stood.end() - since);
+    }
+    const double part = settings_.overload_factor * settings_.start_capacity * kColdMargin;
+    return sent < std::max(1.0, part * warm_rate(server.entry.kind) * settings_.fall_s);
+  }
+
+  // Set-ups a second that this sender saw a warm server of the kind take, on average.
+  double warm_rate(std::uint32_t kind) {
+    double best = 0;
+    for (auto& [id, server] : servers_) {
+      if (server.entry.kind != kind || now_ < server.cold_until) continue;
+      while (!server.stood.empty() && server.stood.front() <= now_ - kRateWindow) server.stood.pop_front();
+      const double span =
+          std::clamp(now_ - start_, settings_.fall_s, std::max(kRateWindow, settings_.fall_s));
+      best = std::max(best, static_cast<double>(server.stood.size()) / span);
+    }
+    double& seen = warm_rate_[kind];
+    seen = std::max(seen, best);
+    return seen;
+  }
+
+  // ---- Holding: DSRT ----
+
+  void hold_or_refuse(Call& call) {
+    const double longest = std::min(class_of(call).aim_s, call.end - now_ - std::max(0.0, spacing_));
+    if (longest <= 0) return refuse(call);
+    const double x = spacing_ < 0 ? longest : std::clamp(spacing_, std::min(kSpacingLeast, longest), longest);
+    const double most = std::floor(longest / x);
+    const Time due = (held_ == 0 ? now_ : std::max(now_, last_due_)) + x;
+    if (held_ >= most || due > now_ + longest) return refuse(call);
+    last_due_ = due;
+    enter(call, Call::State::kHeld);
+    wake(call, due);
+  }
+
+  // ---- Sending: the only place, and the five rules' checks ----
+
+  void send(Call& call, Server& server) {
+    const bool one_out = call.state == Call::State::kInFlight || call.state == Call::State::kStanding;
+    const bool released = now_ >= call.not_before;
+    const bool in_time = call.end - now_ >= kLeastTry;
+    const bool tries_left = call.attempts < settings_.attempt_limit;
+    const bool again = !call.in_doubt || class_of(call).effect == Effect::kRepeatable;
+    if (one_out) return;
+    if (!released || !in_time || !tries_left || !again || !server.listed || !within_cold_budget(server)) {
+      return refuse(call);
+    }
+    enter(call, Call::State::kInFlight);
+    call.attempts += 1;
+    call.server = server.entry.id;
+    call.sent = now_;
+    server.unanswered.emplace(now_, call.id);
+    server.sends.push_back(now_);
+    while (server.sends.front() <= now_ - settings_.fall_s) server.sends.pop_front();
+    emit(SendSetup{call.id, server.entry.id, call.end - now_});
+  }
+
+  // ---- What comes back ----
+
+  void on(const SetupStood& e) {
+    Call* call = current(e.call, e.attempt);
+    Server* server = find(e.server);
+    if (server != nullptr && usable(e.spent_s)) learn_stood(*server, e.spent_s);
+    if (call == nullptr || call->state != Call::State::kInFlight) return;
+    answered(*call);
+    enter(*call, Call::State::kStanding);
+  }
+
+  void learn_stood(Server& server, double delay) {
+    spacing_ = spacing_ < 0 ? delay : spacing_ + kSpacingGain * (delay - spacing_);
+    const double before = std::max(0.0, server.wait - kWaitDrain * (now_ - server.wait_at));
+    server.wait = before + kWaitGain * (delay - before);
+    server.wait_at = now_;
+    server.slow_delay +=
+        (delay > server.slow_delay ? kWeightFall : kWeightReturn) * (delay - server.slow_delay);
+    server.marked_until = -kNever;
+    server.stood.push_back(now_);
+    while (server.stood.front() <= now_ - std::max(kRateWindow, settings_.fall_s)) server.stood.pop_front();
+    if (server.suspect && server.may_be_new) server.cold_until = now_ + settings_.warm_up_s;
+    clear_suspicion(server);
+  }
+
+  void on(const AttemptEnded& e) {
+    Server* server = find(e.server);
+    if (server != nullptr) take_report(*server, e.report);
+    Call* call = current(e.call, e.attempt);
+    if (call == nullptr) return;
+    const bool stood = call->state == Call::State::kStanding;
+    if (!stood && call->state != Call::State::kInFlight) return;
+    const Time sent = call->sent;
+    answered(*call);
+    if (server != nullptr) judge(*server, e, stood, sent);
+    if (e.call_over || stood) {
+      forget(*call);
+      return;
+    }
+    enter(*call, Call::State::kArriving);
+    switch (e.outcome) {
+      case Outcome::kEnded:
+        return forget(*call);
+      case Outcome::kFull:
+        if (call->attempts == 1) return hold_or_refuse(*call);
+        return refuse(*call);
+      case Outcome::kConnectFailed:
+      case Outcome::kNotSent:  // never ran: another server may be tried at once
+        return try_again(*call);
+      case Outcome::kError:
+        if (e.cause == Cause::kNumberBusy) return refuse(*call);
+        [[fallthrough]];
+      case Outcome::kTimedOut:
+      case Outcome::kReset:
+      case Outcome::kCancelled:
+        call->in_doubt = true;
+        return await_release(*call);
+    }
+  }
+
+  void try_again(Call& call) {
+    Server* server = draw(call, true);
+    if (server == nullptr || server->entry.id == call.server) return refuse(call);
+    send(call, *server);
+  }
+
+  // The fifth rule, and no use unless time is left for another set-up after it.
+  void await_release(Call& call) {
+    call.not_before = now_ + settings_.release_wait_s;
+    if (call.end - call.not_before < std::max(kLeastTry, spacing_)) return refuse(call);
+    if (call.attempts >= settings_.attempt_limit) return refuse(call);
+    enter(call, Call::State::kAwaitingRelease);
+    wake(call, call.not_before);
+  }
+
+  // What an outcome tells of the server.
+  void judge(Server& server, const AttemptEnded& e, bool stood, Time sent) {
+    if (stood) {
+      if (e.outcome == Outcome::kReset) {
+        server.cuts.push_back(now_);
+        while (server.cuts.front() < now_ - kCutsTogether) server.cuts.pop_front();
+        if (server.cuts.size() >= kCutsToSuspect) suspect(server, true);
+      }
+      return;
+    }
+    switch (e.outcome) {
+      case Outcome::kFull:
+        if (e.cause == Cause::kProcessorFull || e.cause == Cause::kNone) {
+          const double told = usable(e.told_wait_s) ? e.told_wait_s : 0;
+          const double mark = told > 0 ? told : std::max(spacing_, kMarkLeast);
+          server.marked_until = std::max(server.marked_until, now_ + mark);
+          server.slow_delay = std::max(server.slow_delay, now_ - sent);
+        }
+        server.strikes = 0;
+        return;
+      case Outcome::kConnectFailed:
+        return suspect(server, true);
+      case Outcome::kTimedOut:
+        server.slow_delay = std::max(server.slow_delay, now_ - sent);
+        [[fallthrough]];
+      case Outcome::kReset:
+        server.strikes += 1;
+        if (server.strikes >= kStrikesToSuspect || server.suspect)
+          suspect(server, e.outcome == Outcome::kReset);
+        return;
+      case Outcome::kNotSent:
+        server.marked_until = std::max(server.marked_until, now_ + kMarkLeast);
+        return;
+      default:
+        return;
+    }
+  }
+
+  void suspect(Server& server, bool may_be_new) {
+    server.trial_gap = server.suspect ? std::min(2 * server.trial_gap, kSuspectLongest) : kSuspectFirst;
+    if (server.suspect && now_ < server.trial_at) server.trial_gap /= 2;  // one failure, told several times
+    server.suspect = true;
+    server.may_be_new = server.may_be_new || may_be_new;
+    server.trial_at = now_ + server.trial_gap;
+  }
+
+  void clear_suspicion(Server& server) {
+    server.suspect = false;
+    server.may_be_new = false;
+    server.strikes = 0;
+    server.cuts.clear();
+  }
+
+  void on(const CallAbandoned& e) {
+    const auto found = calls_.find(e.call);
+    if (found == calls_.end()) return;
+    answered(found->second);
+    forget(found->second);
+  }
+
+  void on(const TimerFired& e) {
+    if (e.token == kListTimer) return emit(Subscribe{});
+    const auto found = calls_.find(static_cast<CallId>(e.token >> 32));
+    if (found == calls_.end() || found->second.generation != static_cast<std::uint32_t>(e.token)) return;
+    Call& call = found->second;
+    if (call.state == Call::State::kHeld) {
+      enter(call, Call::State::kArriving);
+      try_held(call);
+    } else if (call.state == Call::State::kAwaitingRelease) {
+      enter(call, Call::State::kArriving);
+      Server* server = route(call);
+      if (server == nullptr) return refuse(call);
+      send(call, *server);
+    }
+  }
+
+  // ---- Ending: one place ----
+
+  void refuse(Call& call) {
+    const bool may_refuse = !call.in_doubt || class_of(call).effect == Effect::kRepeatable;
+    if (may_refuse) {
+      const double pause = std::max(spacing_, held_ > 0 ? last_due_ - now_ : 0);
+      const double advice = settings_.gives_retry_after ? std::min(pause, settings_.max_retry_after_s) : 0;
+      emit(RefuseCall{call.id, std::max(0.0, advice)});
+    } else {
+      emit(FailCall{call.id});
+    }
+    forget(call);
+  }
+
+  void forget(Call& call) {
+    enter(call, Call::State::kArriving);
+    calls_.erase(call.id);
+  }
+
+  // ---- The list of servers, and reports ----
+
+  void on(const ServerList& e) {
+    if (e.mode == ServerList::Mode::kFailed) {
+      emit(SetTimer{kListTimer, kListRetry});
+      return;
+    }
+    if (e.mode != ServerList::Mode::kDelta) {
+      for (auto& [id, server] : servers_) server.listed = false;
+    }
+    for (const ServerEntry& entry : e.entries) take_entry(entry, e.mode == ServerList::Mode::kCached);
+    if (e.mode == ServerList::Mode::kFull) {
+      for (auto& [id, server] : servers_) server.unproven = false;
+    }
+  }
+
+  void take_entry(const ServerEntry& entry, bool cached) {
+    const bool known = servers_.count(entry.id) != 0;
+    Server& server = servers_[entry.id];
+    const bool restarted = known && entry.since > server.entry.since;
+    if (restarted) {
+      server.wait = 0;
+      server.marked_until = -kNever;
+      clear_suspicion(server);
+    }
+    server.entry = entry;
+    server.listed = entry.state == ServerEntry::State::kReady;
+    server.unproven = cached;
+    if (entry.since > 0) server.cold_until = std::max(server.cold_until, entry.since + settings_.warm_up_s);
+  }
+
+  void on(const LoadNotice& e) {
+    if (Server* server = find(e.server)) take_report(*server, e.report);
+  }
+
+  void take_report(Server& server, const Report& report) {
+    if (report.spare && usable(*report.spare)) server.spare = *report.spare;
+    if (report.wait_s && usable(*report.wait_s)) {
+      server.told_wait = *report.wait_s;
+      server.told_at = now_;
+    }
+  }
+
+  // ---- Small things ----
+
+  void emit(Action action) { actions_->push_back(std::move(action)); }
+
+  void enter(Call& call, Call::State state) {
+    if (call.state == Call::State::kHeld) held_ -= 1;
+    if (state == Call::State::kHeld) held_ += 1;
+    call.state = state;
+    call.generation += 1;
+  }
+
+  void wake(const Call& call, Time when) {
+    emit(SetTimer{static_cast<std::uint64_t>(call.id) << 32 | call.generation, std::max(0.0, when - now_)});
+  }
+
+  // The attempt that is out, if it is the one meant.
+  Call* current(CallId id, std::uint32_t attempt) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end() || found->second.attempts != attempt + 1) return nullptr;
+    return &found->second;
+  }
+
+  void answered(const Call& call) {
+    if (Server* server = find(call.server)) server->unanswered.erase({call.sent, call.id});
+  }
+
+  Server* find(ServerId id) {
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : &found->second;
+  }
+
+  const Settings::Class& class_of(const Call& call) const {
+    static const Settings::Class kUntold;
+    return call.call_class < settings_.classes.size() ? settings_.classes[call.call_class] : kUntold;
+  }
+
+  double uniform() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
+
+  Settings settings_;
+  std::mt19937_64 random_;
+  double best_worth_ = 1e-9;
+  Time now_ = 0;
+  Time start_ = -kNever;
+  std::vector<Action>* actions_ = nullptr;
+  std::map<CallId, Call> calls_;
+  std::map<ServerId, Server> servers_;
+  std::map<std::uint32_t, double> warm_rate_;  // by kind
+  double spacing_ = -1;                        // x; below 0: nothing stood yet
+  std::uint32_t held_ = 0;
+  Time last_due_ = 0;  // latest scheduled try
+};
+
+Controller::Controller(const Settings& settings, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(settings, seed)) {}
+Controller::~Controller() = default;
+Controller::Controller(Controller&&) noexcept = default;
+Controller& Controller::operator=(Controller&&) noexcept = default;
+
+void Controller::handle(Time now, const Event& event, std::vector<Action>& actions) {
+  impl_->handle(now, event, actions);
+}
+
+}  // namespace mintrock
