--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -102,9 +102,9 @@
 
 struct Server {
   ServerEntry entry;
-  bool listed = false;        // ready in the list; else nothing new goes there
-  Time cold_until = -kNever;  // counts as cold until then
-  bool unproven = false;      // only a cached list tells of it
+  bool listed = false;            // ready in the list; else nothing new goes there
+  Time cold_until = -kNever;      // counts as cold until then
+  Time unproven_until = -kNever;  // only a cached list tells of it, or its calls were cut together
 
   Time marked_until = -kNever;  // answered full
   double wait = 0;              // s; as the last set-ups that stood saw it
@@ -118,8 +118,9 @@
 
   int strikes = 0;  // set-ups lost in a row
   bool suspect = false;
-  bool may_be_new = false;  // suspected of a crash: cold when it comes back
-  Time trial_at = -kNever;  // next single trial while suspect
+  bool unreachable = false;  // refused connections: taken for restarted, so cold, when it comes back
+  bool was_cut = false;      // lost its standing calls: may be restarted, may be not
+  Time trial_at = -kNever;   // next single trial while suspect
   double trial_gap = kSuspectFirst;
   std::deque<Time> cuts;  // standing calls cut, lately
 
@@ -266,7 +267,7 @@
   // capacity; or its share of what the server says that it can take.
   bool within_cold_budget(Server& server) {
     const bool cold = now_ < server.cold_until;
-    if (!cold && !server.unproven) return true;
+    if (!cold && now_ >= server.unproven_until) return true;
     while (!server.sends.empty() && server.sends.front() <= now_ - settings_.fall_s) server.sends.pop_front();
     const double sent = static_cast<double>(server.sends.size());
     if (!cold) {
@@ -349,7 +350,8 @@
     server.marked_until = -kNever;
     server.stood.push_back(now_);
     while (server.stood.front() <= now_ - std::max(kRateWindow, settings_.fall_s)) server.stood.pop_front();
-    if (server.suspect && server.may_be_new) server.cold_until = now_ + settings_.warm_up_s;
+    if (server.suspect && server.unreachable) server.cold_until = now_ + settings_.warm_up_s;
+    if (server.suspect && server.was_cut) server.unproven_until = now_ + settings_.warm_up_s;
     clear_suspicion(server);
   }
 
@@ -409,7 +411,7 @@
       if (e.outcome == Outcome::kReset) {
         server.cuts.push_back(now_);
         while (server.cuts.front() < now_ - kCutsTogether) server.cuts.pop_front();
-        if (server.cuts.size() >= kCutsToSuspect) suspect(server, true);
+        if (server.cuts.size() >= kCutsToSuspect) server.was_cut = true, suspect(server);
       }
       return;
     }
@@ -424,14 +426,14 @@
         server.strikes = 0;
         return;
       case Outcome::kConnectFailed:
-        return suspect(server, true);
+        server.unreachable = true;
+        return suspect(server);
       case Outcome::kTimedOut:
         server.slow_delay = std::max(server.slow_delay, now_ - sent);
         [[fallthrough]];
       case Outcome::kReset:
         server.strikes += 1;
-        if (server.strikes >= kStrikesToSuspect || server.suspect)
-          suspect(server, e.outcome == Outcome::kReset);
+        if (server.strikes >= kStrikesToSuspect || server.suspect) suspect(server);
         return;
       case Outcome::kNotSent:
         server.marked_until = std::max(server.marked_until, now_ + kMarkLeast);
@@ -441,17 +443,16 @@
     }
   }
 
-  void suspect(Server& server, bool may_be_new) {
+  void suspect(Server& server) {
     server.trial_gap = server.suspect ? std::min(2 * server.trial_gap, kSuspectLongest) : kSuspectFirst;
     if (server.suspect && now_ < server.trial_at) server.trial_gap /= 2;  // one failure, told several times
     server.suspect = true;
-    server.may_be_new = server.may_be_new || may_be_new;
     server.trial_at = now_ + server.trial_gap;
   }
 
   void clear_suspicion(Server& server) {
     server.suspect = false;
-    server.may_be_new = false;
+    server.unreachable = server.was_cut = false;
     server.strikes = 0;
     server.cuts.clear();
   }
@@ -510,7 +511,9 @@
     }
     for (const ServerEntry& entry : e.entries) take_entry(entry, e.mode == ServerList::Mode::kCached);
     if (e.mode == ServerList::Mode::kFull) {
-      for (auto& [id, server] : servers_) server.unproven = false;
+      for (auto& [id, server] : servers_) {
+        if (server.unproven_until == kNever) server.unproven_until = -kNever;
+      }
     }
   }
 
@@ -525,7 +528,7 @@
     }
     server.entry = entry;
     server.listed = entry.state == ServerEntry::State::kReady;
-    server.unproven = cached;
+    if (cached) server.unproven_until = kNever;
     if (entry.since > 0) server.cold_until = std::max(server.cold_until, entry.since + settings_.warm_up_s);
   }
 
