--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -65,8 +65,9 @@
 constexpr double kRedialWorth = 0.5;
 
 // An attempt is given up this long before the caller's own end, so that the final answer is in time.
-constexpr double kEndMargin = 0.05;  // s
-constexpr double kLeastTry = 0.05;   // s; with less left a set-up is not worth sending
+constexpr double kEndMargin = 0.05;       // s
+constexpr double kReleaseMargin = 0.005;  // s on top of the release wait, for the rounding of clocks
+constexpr double kLeastTry = 0.05;        // s; with less left a set-up is not worth sending
 
 constexpr double kListRetry = 1.0;  // s until a failed list subscription is asked for again
 constexpr std::uint64_t kListTimer = 0;
@@ -118,6 +119,7 @@
 
   int strikes = 0;  // set-ups lost in a row
   bool suspect = false;
+  Time suspect_since = -kNever;
   bool unreachable = false;  // refused connections: taken for restarted, so cold, when it comes back
   bool was_cut = false;      // lost its standing calls: may be restarted, may be not
   Time trial_at = -kNever;   // next single trial while suspect
@@ -335,6 +337,9 @@
     Call* call = current(e.call, e.attempt);
     Server* server = find(e.server);
     if (server != nullptr && usable(e.spent_s)) learn_stood(*server, e.spent_s);
+    // A set-up sent before the trouble says nothing about the server after it.
+    if (server != nullptr && server->suspect && now_ - e.spent_s >= server->suspect_since)
+      return_suspect(*server);
     if (call == nullptr || call->state != Call::State::kInFlight) return;
     answered(*call);
     enter(*call, Call::State::kStanding);
@@ -350,8 +355,15 @@
     server.marked_until = -kNever;
     server.stood.push_back(now_);
     while (server.stood.front() <= now_ - std::max(kRateWindow, settings_.fall_s)) server.stood.pop_front();
-    if (server.suspect && server.unreachable) server.cold_until = now_ + settings_.warm_up_s;
-    if (server.suspect && server.was_cut) server.unproven_until = now_ + settings_.warm_up_s;
+    server.strikes = 0;
+  }
+
+  void return_suspect(Server& server) {
+    if (server.unreachable) server.cold_until = now_ + settings_.warm_up_s;
+    if (server.was_cut) {
+      server.unproven_until = now_ + settings_.warm_up_s;
+      server.stood = {now_};
+    }
     clear_suspicion(server);
   }
 
@@ -398,7 +410,7 @@
 
   // The fifth rule, and no use unless time is left for another set-up after it.
   void await_release(Call& call) {
-    call.not_before = now_ + settings_.release_wait_s;
+    call.not_before = now_ + settings_.release_wait_s + kReleaseMargin;
     if (call.end - call.not_before < std::max(kLeastTry, spacing_)) return refuse(call);
     if (call.attempts >= settings_.attempt_limit) return refuse(call);
     enter(call, Call::State::kAwaitingRelease);
@@ -446,6 +458,7 @@
   void suspect(Server& server) {
     server.trial_gap = server.suspect ? std::min(2 * server.trial_gap, kSuspectLongest) : kSuspectFirst;
     if (server.suspect && now_ < server.trial_at) server.trial_gap /= 2;  // one failure, told several times
+    if (!server.suspect) server.suspect_since = now_;
     server.suspect = true;
     server.trial_at = now_ + server.trial_gap;
   }
--- /dev/null
+++ b/tests/controller_test.cpp
@@ -0,0 +1,670 @@
+// The decisions, driven by events on simulated time. Each test of a defence fails without it.
+#include "mintrock/controller.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace mintrock {
+namespace {
+
+Settings usual() {
+  Settings s;
+  s.classes = {{1.2, 9, 1, 0.25, Effect::kRepeatable, {}}, {1.5, 9, 4, 0.25, Effect::kRepeatable, {}}};
+  s.fleet_size = 4;
+  s.release_wait_s = 0.5;
+  s.start_capacity = 0.3;
+  s.warm_up_s = 12;
+  s.overload_factor = 2;
+  s.fall_s = 2;
+  s.attempt_limit = 4;
+  s.max_retry_after_s = 2;
+  s.can_cancel = true;
+  s.gives_retry_after = true;
+  return s;
+}
+
+// One Controller, its clock, and what it did.
+class Bench {
+ public:
+  explicit Bench(Settings s = usual(), std::uint64_t seed = 1) : c_(s, seed) { pass(Started{}); }
+
+  std::vector<Action> pass(const Event& e) {
+    std::vector<Action> out;
+    c_.handle(now, e, out);
+    for (const Action& a : out) {
+      if (const auto* t = std::get_if<SetTimer>(&a)) timers_.emplace(now + t->after_s, t->token);
+    }
+    log.insert(log.end(), out.begin(), out.end());
+    return out;
+  }
+
+  void list(const std::vector<ServerEntry>& entries, ServerList::Mode mode = ServerList::Mode::kFull) {
+    pass(ServerList{mode, entries});
+  }
+  void servers(int count) {
+    std::vector<ServerEntry> entries;
+    for (int i = 0; i < count; ++i) entries.push_back(entry(10 + i, i));
+    list(entries);
+  }
+  static ServerEntry entry(ServerId id, std::uint32_t node, Time since = 0) {
+    return {id, node, 0, 1.0, ServerEntry::State::kReady, since};
+  }
+  std::vector<Action> call(CallId id, int first = 0, double ttl = 3, std::uint32_t cls = 0) {
+    NewCall e;
+    e.call = id;
+    e.call_class = cls;
+    e.ttl_s = ttl;
+    e.first_choice = first;
+    return pass(e);
+  }
+  std::vector<Action> stood(CallId id, ServerId server, double spent = 0.05, std::uint32_t attempt = 0) {
+    return pass(SetupStood{id, attempt, server, spent});
+  }
+  std::vector<Action> ended(CallId id, ServerId server, Outcome outcome, Cause cause = Cause::kNone,
+                            std::uint32_t attempt = 0, double told = 0, bool over = false,
+                            Report report = {}) {
+    return pass(AttemptEnded{id, attempt, server, 0.05, outcome, cause, told, over, report});
+  }
+  std::vector<Action> full(CallId id, ServerId server, std::uint32_t attempt = 0, double told = 0) {
+    return ended(id, server, Outcome::kFull, Cause::kProcessorFull, attempt, told);
+  }
+  // Lets time pass; timers fire in order.
+  std::vector<Action> until(Time when) {
+    std::vector<Action> out;
+    while (!timers_.empty() && timers_.begin()->first <= when) {
+      now = std::max(now, timers_.begin()->first);
+      const std::uint64_t token = timers_.begin()->second;
+      timers_.erase(timers_.begin());
+      const std::vector<Action> more = pass(TimerFired{token});
+      out.insert(out.end(), more.begin(), more.end());
+    }
+    now = when;
+    return out;
+  }
+  Time next_timer() const { return timers_.empty() ? -1 : timers_.begin()->first; }
+  // A call that goes through and ends, so that x and the delays are known.
+  void warm(ServerId server, int node, double delay, int times = 30) {
+    for (int i = 0; i < times; ++i) {
+      const CallId id = next_++;
+      if (sent_to(call(id, node)) != server) continue;
+      until(now + delay);
+      stood(id, server, delay);
+      ended(id, server, Outcome::kEnded, Cause::kNone, 0, 0, true);
+    }
+  }
+
+  static ServerId sent_to(const std::vector<Action>& actions) {
+    for (const Action& a : actions) {
+      if (const auto* s = std::get_if<SendSetup>(&a)) return s->server;
+    }
+    return 0;
+  }
+  static int sends(const std::vector<Action>& actions) {
+    int n = 0;
+    for (const Action& a : actions) n += std::holds_alternative<SendSetup>(a);
+    return n;
+  }
+  static const RefuseCall* refused(const std::vector<Action>& actions) {
+    for (const Action& a : actions) {
+      if (const auto* r = std::get_if<RefuseCall>(&a)) return r;
+    }
+    return nullptr;
+  }
+  static bool held(const std::vector<Action>& actions) {
+    return actions.size() == 1 && std::holds_alternative<SetTimer>(actions[0]);
+  }
+
+  Time now = 100;
+  std::vector<Action> log;
+
+ private:
+  Controller c_;
+  std::multimap<Time, std::uint64_t> timers_;
+  CallId next_ = 100000;
+};
+
+// ---- The ordinary path ----
+
+TEST(Path, FirstChoiceWhileUnmarked) {
+  Bench b;
+  b.servers(3);
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(b.sent_to(b.call(1 + i, i)), 10u + i);
+}
+
+TEST(Path, ElseADrawOverTheOtherUnmarkedServers) {
+  Bench b;
+  b.servers(3);
+  b.call(1, 0);
+  EXPECT_TRUE(b.held(b.full(1, 10)));
+  std::map<ServerId, int> seen;
+  for (int i = 0; i < 30; ++i) ++seen[b.sent_to(b.call(2 + i, 0))];
+  EXPECT_EQ(seen.count(10), 0u);
+  EXPECT_GT(seen[11], 0);
+  EXPECT_GT(seen[12], 0);
+}
+
+TEST(Path, WeightsFallWithSetupDelayAndReturnSlowly) {
+  Bench b;
+  b.servers(3);
+  b.warm(11, 1, 0.3);
+  b.warm(12, 2, 0.02);
+  b.until(b.now + 5);
+  b.call(1, 0);
+  b.full(1, 10, 0, 60);
+  std::map<ServerId, int> seen;
+  for (int i = 0; i < 50; ++i) {
+    const ServerId server = b.sent_to(b.call(10 + i, 0));
+    ++seen[server];
+    b.stood(10 + i, server, server == 11 ? 0.25 : 0.02);
+  }
+  EXPECT_GT(seen[12], 3 * seen[11]);
+}
+
+TEST(Path, HeldTriesAreSpacedXAndCapped) {
+  Bench b;
+  b.servers(1);
+  b.warm(10, 0, 0.3);
+  b.call(1, 0);
+  b.full(1, 10, 0, 5);  // x = 0.3, aim 1.2: at most 4 held
+  std::vector<Time> due = {b.next_timer()};
+  EXPECT_NEAR(due[0], b.now + 0.3, 1e-6);
+  int held = 1;
+  for (int i = 0; i < 6; ++i) {
+    const auto out = b.call(2 + i, 0);
+    if (b.held(out)) {
+      ++held;
+      EXPECT_NEAR(std::get<SetTimer>(out[0]).after_s, 0.3 * held, 1e-6);
+    } else {
+      ASSERT_NE(b.refused(out), nullptr);
+      EXPECT_GT(b.refused(out)->retry_after_s, 0);
+    }
+  }
+  EXPECT_GE(held, 3);
+  EXPECT_LE(held, 4);
+}
+
+TEST(Path, ADueTryThatMeetsAMarkIsRefused) {
+  Bench b;
+  b.servers(1);
+  b.call(1, 0);
+  b.full(1, 10, 0, 10);
+  EXPECT_NE(b.refused(b.until(b.now + 3)), nullptr);
+}
+
+TEST(Path, ADueTryAnsweredFullIsRefused) {
+  Bench b;
+  b.servers(1);
+  b.warm(10, 0, 0.3);
+  b.call(1, 0);
+  b.full(1, 10);
+  ASSERT_EQ(b.sent_to(b.until(b.now + 0.35)), 10u);
+  EXPECT_NE(b.refused(b.full(1, 10, 1)), nullptr);
+}
+
+TEST(Path, ATellsWaitMarkLastsAsLongAsTold) {
+  Bench b;
+  b.servers(2);
+  b.call(1, 0);
+  b.full(1, 10, 0, 0.8);
+  b.until(b.now + 0.75);
+  EXPECT_EQ(b.sent_to(b.call(2, 0)), 11u);
+  b.until(b.now + 0.1);
+  EXPECT_EQ(b.sent_to(b.call(3, 0)), 10u);
+}
+
+TEST(Path, AMarkLastsAtLeast200Ms) {
+  Bench b;
+  b.servers(2);
+  b.warm(10, 0, 0.01);
+  b.call(1, 0);
+  b.full(1, 10);
+  b.until(b.now + 0.19);
+  EXPECT_EQ(b.sent_to(b.call(2, 0)), 11u);
+  b.until(b.now + 0.02);
+  EXPECT_EQ(b.sent_to(b.call(3, 0)), 10u);
+}
+
+TEST(Path, AStandingCallClearsTheMark) {
+  Bench b;
+  b.servers(2);
+  b.call(1, 0);
+  b.call(2, 0);
+  b.full(1, 10, 0, 60);
+  EXPECT_EQ(b.sent_to(b.call(3, 0)), 11u);
+  b.stood(2, 10);
+  EXPECT_EQ(b.sent_to(b.call(4, 0)), 10u);
+}
+
+// ---- No room before the full answers come ----
+
+// Rising set-up delay without full answers; also what a slow server, a pause or a swallowed set-up looks
+// like.
+TEST(Room, LongDelaysCountAsNoRoom) {
+  Bench b;
+  b.servers(2);
+  b.call(1, 0);
+  b.until(b.now + 1.2);
+  b.stood(1, 10, 1.2);
+  EXPECT_EQ(b.sent_to(b.call(2, 0)), 11u);
+  b.until(b.now + 5);
+  EXPECT_EQ(b.sent_to(b.call(3, 0)), 10u) << "old evidence fades";
+}
+
+TEST(Room, UnansweredSetupsCountByTheirAge) {
+  Bench b;
+  b.servers(2);
+  b.call(1, 0);
+  b.until(b.now + 0.1);
+  EXPECT_EQ(b.sent_to(b.call(2, 0)), 10u);
+  b.until(b.now + 0.6);
+  EXPECT_EQ(b.sent_to(b.call(3, 0)), 11u);
+}
+
+TEST(Room, ToldWaitCountsAndNonsenseReportsDoNot) {
+  Bench b;
+  b.servers(2);
+  Report report;
+  for (const double bad : {std::nan(""), -1.0, std::numeric_limits<double>::infinity()}) {
+    report.wait_s = report.spare = report.queue = report.busy_share = report.allowed_per_s = bad;
+    b.pass(LoadNotice{10, report});
+  }
+  EXPECT_EQ(b.sent_to(b.call(1, 0)), 10u);
+  b.stood(1, 10);
+  report = {};
+  report.wait_s = 2.0;
+  b.pass(LoadNotice{10, report});
+  EXPECT_EQ(b.sent_to(b.call(2, 0)), 11u);
+  report.wait_s.reset();
+  report.spare = 0;
+  b.pass(LoadNotice{11, report});
+  EXPECT_TRUE(b.held(b.call(3, 0)));
+}
+
+TEST(Room, UnderPressureWorthComesFirst) {
+  Bench b;
+  b.servers(1);
+  b.call(1, 0);
+  b.until(b.now + 0.4);
+  b.stood(1, 10, 0.4);
+  b.until(b.now + 0.05);
+  b.call(2, 0);
+  int low = 0, high = 0;
+  for (int i = 0; i < 60; ++i) {
+    b.stood(2, 10, 0.4);
+    low += b.sends(b.call(10 + 2 * i, 0, 3, 0));
+    high += b.sends(b.call(11 + 2 * i, 0, 3, 1));
+    b.until(b.now + 0.01);
+    for (int k = 0; k < 2; ++k) b.stood(10 + 2 * i + k, 10, 0.44);
+  }
+  EXPECT_GT(high, low);
+}
+
+// ---- The five rules ----
+
+TEST(Rules, OneFinalAnswerBeforeTheCallersEnd) {
+  Bench b;
+  b.servers(1);
+  const auto out = b.call(1, 0, 2.0);
+  ASSERT_EQ(b.sends(out), 1);
+  EXPECT_LT(std::get<SendSetup>(out[0]).give_up_after_s, 2.0);
+  b.until(b.now + 1.9);
+  const auto late = b.ended(1, 10, Outcome::kTimedOut);
+  EXPECT_NE(b.refused(late), nullptr) << "no time for the release and another set-up";
+  EXPECT_TRUE(b.ended(1, 10, Outcome::kTimedOut).empty());
+}
+
+TEST(Rules, NoSecondCopyAndReleaseAwaited) {
+  Bench b;
+  b.servers(2);
+  b.call(1, 0);
+  EXPECT_TRUE(b.call(1, 0).empty());
+  b.until(b.now + 0.3);
+  EXPECT_TRUE(b.held(b.ended(1, 10, Outcome::kReset)));
+  EXPECT_EQ(b.sends(b.until(b.now + 0.499)), 0);
+  EXPECT_EQ(b.sends(b.until(b.now + 0.05)), 1);
+}
+
+TEST(Rules, ADrainLearnedWhileACallIsHeld) {
+  Bench b;
+  b.servers(1);
+  b.warm(10, 0, 0.3);
+  b.call(1, 0);
+  b.full(1, 10);
+  ServerEntry e = b.entry(10, 0);
+  e.state = ServerEntry::State::kDraining;
+  b.list({e}, ServerList::Mode::kDelta);
+  const auto out = b.until(b.now + 2);
+  EXPECT_EQ(b.sends(out), 0);
+  EXPECT_NE(b.refused(out), nullptr);
+  EXPECT_EQ(b.sends(b.call(2, 0)), 0);
+}
+
+TEST(Rules, WhatAFullListDoesNotNameIsGone) {
+  Bench b;
+  b.servers(2);
+  b.list({b.entry(11, 1)});
+  EXPECT_EQ(b.sent_to(b.call(1, 0)), 11u);
+}
+
+// However many calls come, a young server gets this sender's part: attempts count, whatever came of them.
+TEST(Rules, AColdServerGetsOnlyItsPart) {
+  Bench b;
+  b.servers(1);
+  b.warm(10, 0, 0.05, 200);  // this sender has seen a warm server take 20 a second
+  b.list({b.entry(20, 0, b.now)});
+  int sent = 0;
+  CallId id = 1;
+  const Time start = b.now;
+  while (b.now < start + 2) {
+    const CallId now_id = id++;
+    if (b.sends(b.call(now_id, 0)) > 0) {
+      ++sent;
+      b.full(now_id, 20, 0, 0.001);
+    }
+    b.until(b.now + 0.01);
+  }
+  EXPECT_GE(sent, 5);
+  EXPECT_LE(sent, 2 * 0.3 * 20 * 2) << "factor x start x warm rate x window";
+}
+
+TEST(Rules, ARestartOfAKnownServerMakesItCold) {
+  Bench b;
+  b.servers(1);
+  b.list({b.entry(10, 0, b.now)}, ServerList::Mode::kDelta);
+  EXPECT_EQ(b.sends(b.call(1, 0)), 1);
+  EXPECT_EQ(b.sends(b.call(2, 0)), 0) << "nothing warm was seen: one a window";
+}
+
+TEST(Rules, BackAfterRefusedConnectionsIsCold) {
+  Bench b;
+  b.servers(1);
+  b.warm(10, 0, 0.05, 200);
+  b.call(1, 0);
+  b.ended(1, 10, Outcome::kConnectFailed);
+  b.until(b.now + 5);
+  ASSERT_EQ(b.sends(b.call(2, 0)), 1);
+  b.stood(2, 10);
+  int sent = 0;
+  for (int i = 0; i < 100; ++i) {
+    sent += b.sends(b.call(10 + i, 0));
+    b.stood(10 + i, 10);
+  }
+  EXPECT_LE(sent, 24);
+}
+
+// Restarted with only its last list: what it names may have restarted too, so traffic starts small.
+TEST(Rules, ACachedListAloneMeansASmallStart) {
+  Bench b;
+  b.list({b.entry(10, 0)}, ServerList::Mode::kCached);
+  int sent = 0;
+  for (int i = 0; i < 20; ++i) sent += b.sends(b.call(1 + i, 0));
+  EXPECT_GE(sent, 1);
+  EXPECT_LE(sent, 4);
+  Bench full;
+  full.servers(1);
+  sent = 0;
+  for (int i = 0; i < 20; ++i) sent += full.sends(full.call(1 + i, 0));
+  EXPECT_EQ(sent, 20);
+}
+
+TEST(Rules, AttemptLimit) {
+  Settings s = usual();
+  s.attempt_limit = 1;
+  Bench b(s);
+  b.servers(2);
+  b.call(1, 0);
+  EXPECT_NE(b.refused(b.ended(1, 10, Outcome::kConnectFailed)), nullptr);
+}
+
+TEST(Rules, AOnceCallInDoubtIsFailedAndNeverSentAgain) {
+  Settings s = usual();
+  s.classes[0].effect = Effect::kOnce;
+  Bench b(s);
+  b.servers(2);
+  b.call(1, 0);
+  b.ended(1, 10, Outcome::kReset);
+  const auto out = b.until(b.now + 2);
+  EXPECT_EQ(b.sends(out), 0);
+  EXPECT_EQ(b.refused(b.log), nullptr);
+  EXPECT_TRUE(std::any_of(b.log.begin(), b.log.end(),
+                          [](const Action& a) { return std::holds_alternative<FailCall>(a); }));
+}
+
+TEST(Rules, AnAbandonedCallIsLeftAlone) {
+  Bench b;
+  b.servers(1);
+  b.warm(10, 0, 0.3);
+  b.call(1, 0);
+  b.full(1, 10);  // held
+  b.call(2, 0);   // held
+  b.pass(CallAbandoned{1});
+  b.pass(CallAbandoned{1});
+  b.pass(CallAbandoned{2});
+  EXPECT_TRUE(b.until(b.now + 2).empty());
+  b.call(3, 0);  // in flight
+  b.pass(CallAbandoned{3});
+  EXPECT_TRUE(b.stood(3, 10).empty());
+  b.call(4, 0);
+  b.ended(4, 10, Outcome::kReset);  // awaiting release
+  b.pass(CallAbandoned{4});
+  EXPECT_TRUE(b.until(b.now + 2).empty());
+}
+
+// ---- Failures ----
+
+TEST(Failures, RefusedConnectionsTryAnotherServerAtOnceAndSuspect) {
+  Bench b;
+  b.servers(2);
+  b.call(1, 0);
+  EXPECT_EQ(b.sent_to(b.ended(1, 10, Outcome::kConnectFailed)), 11u);
+  EXPECT_EQ(b.sent_to(b.call(2, 0)), 11u);
+}
+
+TEST(Failures, ASuspectComesBackByOneTrialAtDoublingGaps) {
+  Bench b;
+  b.servers(2);
+  b.call(1, 0);
+  b.ended(1, 10, Outcome::kConnectFailed);
+  b.until(b.now + 0.55);
+  b.stood(1, 11, 0.05, 1);
+  EXPECT_EQ(b.sent_to(b.call(2, 0)), 10u) << "one trial";
+  EXPECT_EQ(b.sent_to(b.call(3, 0)), 11u) << "and one only";
+  b.stood(3, 11);
+  b.ended(2, 10, Outcome::kConnectFailed);
+  b.stood(2, 11, 0.05, 1);
+  b.until(b.now + 0.7);
+  EXPECT_EQ(b.sent_to(b.call(4, 0)), 11u) << "the gap has doubled";
+  b.stood(4, 11);
+  b.until(b.now + 0.5);
+  EXPECT_EQ(b.sent_to(b.call(5, 0)), 10u);
+}
+
+TEST(Failures, SwallowedSetupsMakeASuspect) {
+  Bench b;
+  b.servers(2);
+  b.call(1, 0, 0.4);
+  b.call(2, 0, 0.4);
+  b.until(b.now + 0.35);
+  b.ended(1, 10, Outcome::kTimedOut, Cause::kNone, 0, 0, true);
+  b.ended(2, 10, Outcome::kTimedOut, Cause::kNone, 0, 0, true);
+  EXPECT_EQ(b.sent_to(b.call(3, 0)), 11u);
+}
+
+// A crash shows as standing calls cut together, long before the list says so.
+TEST(Failures, StandingCallsCutTogetherMakeASuspect) {
+  Bench b;
+  b.servers(2);
+  for (CallId id = 1; id <= 4; ++id) {
+    b.call(id, 0);
+    b.stood(id, 10);
+  }
+  b.ended(1, 10, Outcome::kReset, Cause::kNone, 0, 0, true);
+  EXPECT_EQ(b.sent_to(b.call(11, 0)), 10u) << "one cut may be chance";
+  b.stood(11, 10);
+  b.ended(2, 10, Outcome::kReset, Cause::kNone, 0, 0, true);
+  EXPECT_EQ(b.sent_to(b.call(12, 0)), 11u);
+}
+
+// Incident i298198: all calls of two large servers were cut, yet they stayed warm. Taken for cold, they were
+// kept at a fraction for the whole warm-up.
+TEST(Failures, AfterCutsAloneTrafficComesBackBySlowStart) {
+  Bench b;
+  b.servers(1);
+  b.warm(10, 0, 0.05, 200);
+  for (CallId id = 1; id <= 3; ++id) {
+    b.call(id, 0);
+    b.stood(id, 10);
+  }
+  for (CallId id = 1; id <= 3; ++id) b.ended(id, 10, Outcome::kReset, Cause::kNone, 0, 0, true);
+  b.until(b.now + 0.6);
+  ASSERT_EQ(b.sends(b.call(50, 0)), 1) << "one trial";
+  b.until(b.now + 0.01);
+  b.stood(50, 10, 0.01);
+  int unanswered = 0;
+  for (int i = 0; i < 20; ++i) unanswered += b.sends(b.call(60 + i, 0));
+  EXPECT_LE(unanswered, 4) << "twice what was answered, and two";
+  for (int i = 0; i < 20; ++i) b.pass(CallAbandoned{static_cast<CallId>(60 + i)});
+  b.until(b.now + 2);
+  int last = 0;
+  for (int i = 0; i < 300; ++i) {
+    const int sent = b.sends(b.call(100 + i, 0));
+    if (i >= 200) last += sent;
+    b.until(b.now + 0.01);
+    if (sent) b.stood(100 + i, 10, 0.01);
+  }
+  EXPECT_GT(last, 80) << "well within the warm-up";
+}
+
+// A set-up that went out before the trouble says nothing about the server after it.
+TEST(Failures, AnAnswerToAnOldSetupDoesNotClearASuspect) {
+  Bench b;
+  b.servers(2);
+  b.call(1, 0);
+  b.call(2, 0);
+  b.until(b.now + 0.1);
+  b.ended(1, 10, Outcome::kConnectFailed);
+  b.stood(2, 10, 0.1);
+  EXPECT_EQ(b.sent_to(b.call(3, 0)), 11u);
+}
+
+TEST(Failures, ABusyNumberIsNoPressureAndIsNotRepeated) {
+  Bench b;
+  b.servers(2);
+  b.call(1, 0);
+  EXPECT_NE(b.refused(b.ended(1, 10, Outcome::kError, Cause::kNumberBusy)), nullptr);
+  EXPECT_EQ(b.sent_to(b.call(2, 0)), 10u);
+}
+
+// ---- Sites that tell or allow less ----
+
+TEST(Sites, NoServersAtAllStillEndsEveryCall) {
+  Bench b;
+  b.call(1, 0, 2);
+  b.list({});
+  b.call(2, 0, 2);
+  b.until(b.now + 2);
+  int refusals = 0;
+  for (const Action& a : b.log) refusals += std::holds_alternative<RefuseCall>(a);
+  EXPECT_EQ(refusals, 2);
+}
+
+TEST(Sites, AClassKeepsToItsServers) {
+  Settings s = usual();
+  s.classes[0].nodes = {1};
+  Bench b(s);
+  b.servers(3);
+  for (CallId id = 1; id < 20; ++id) {
+    EXPECT_EQ(b.sent_to(b.call(id, 0)), 11u);
+    b.stood(id, 11);
+  }
+}
+
+TEST(Sites, NoRetryAfterWhereNoneIsGiven) {
+  Settings s = usual();
+  s.gives_retry_after = false;
+  s.can_cancel = false;
+  Bench b(s);
+  const auto out = b.call(1, 0, 0);
+  ASSERT_NE(b.refused(out), nullptr);
+  EXPECT_EQ(b.refused(out)->retry_after_s, 0);
+}
+
+TEST(Sites, AListThatMustBeAskedForIsAskedForAgain) {
+  Settings s = usual();
+  s.asks_for_list = true;
+  Bench b(s);
+  ASSERT_EQ(b.log.size(), 1u);
+  EXPECT_TRUE(std::holds_alternative<Subscribe>(b.log[0]));
+  b.list({}, ServerList::Mode::kFailed);
+  const auto out = b.until(b.now + 5);
+  ASSERT_EQ(out.size(), 1u);
+  EXPECT_TRUE(std::holds_alternative<Subscribe>(out[0]));
+}
+
+TEST(Sites, HostileValuesEndCallsAndBreakNothing) {
+  Bench b;
+  b.servers(1);
+  const double nan = std::nan("");
+  NewCall e;
+  e.call = 1;
+  e.ttl_s = nan;
+  e.lines = nan;
+  e.call_class = 99;
+  EXPECT_NE(b.refused(b.pass(e)), nullptr);
+  e.call = 2;
+  e.ttl_s = -5;
+  EXPECT_NE(b.refused(b.pass(e)), nullptr);
+  b.call(3, 0);
+  b.stood(3, 10, nan);
+  b.call(4, 0);
+  b.full(4, 10, 0, nan);
+  b.ended(77, 10, Outcome::kReset);
+  b.ended(4, 999, Outcome::kReset, Cause::kNone, 9);
+  b.pass(TimerFired{0xdeadbeefdeadbeefull});
+  b.stood(3, 10, -3);
+  b.until(b.now + 0.5);
+  b.pass(CallAbandoned{4});
+  b.until(b.now + 3);
+  EXPECT_EQ(b.sent_to(b.call(5, 0)), 10u);
+}
+
+// ---- Determinism ----
+
+std::string trace(Bench& b, int step) {
+  std::string out;
+  const auto actions = b.call(static_cast<CallId>(step), step % 3);
+  const ServerId server = b.sent_to(actions);
+  if (server != 0) {
+    if (step % 4 == 0)
+      b.full(static_cast<CallId>(step), server);
+    else
+      b.stood(static_cast<CallId>(step), server, 0.01 * (step % 7));
+  }
+  b.until(b.now + 0.02);
+  for (const Action& a : b.log) {
+    out += std::to_string(a.index());
+    if (const auto* s = std::get_if<SendSetup>(&a)) out += ":" + std::to_string(s->server);
+  }
+  return out;
+}
+
+TEST(Determinism, InterleavedInstancesActAsAlone) {
+  Bench alone(usual(), 5), one(usual(), 5), other(usual(), 6);
+  for (Bench* b : {&alone, &one, &other}) b->servers(3);
+  std::string want, got;
+  for (int i = 1; i < 300; ++i) want = trace(alone, i);
+  for (int i = 1; i < 300; ++i) {
+    got = trace(one, i);
+    trace(other, i + 1);
+  }
+  EXPECT_EQ(got, want);
+}
+
+}  // namespace
+}  // namespace mintrock
