--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <cstdint>
 #include <deque>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <optional>
@@ -57,9 +58,17 @@
 // Cold servers: share of the allowed load that all senders together aim at. The rest is for chance, for
 // repeats that are not seen here, and for senders whose calls grow.
 constexpr double kColdMargin = 0.5;
-constexpr double kRateWindow = 4.0;        // s over which a server's rate of set-ups is seen
-constexpr std::size_t kUnprovenStart = 2;  // set-ups a fall window to a server not yet confirmed, and twice
-                                           // what stood there in that window on top
+constexpr double kRateWindow = 4.0;  // s over which a server's rate of set-ups is seen
+
+// Traffic to a server grows as it answers: within the window, this many set-ups and a little more than were
+// answered.
+constexpr double kAnswerWindow = 1.0;  // s
+constexpr double kAnswerStart = 2;
+constexpr double kAnswerGrowth = 1.3;
+
+// A number that answered busy is tried again after this, at doubling gaps.
+constexpr double kBusyFirst = 0.5;    // s
+constexpr double kBusyLongest = 4.0;  // s
 
 // A redialled call has lost some of its time for full worth already; how much is not told.
 constexpr double kRedialWorth = 0.5;
@@ -103,12 +112,13 @@
 
 struct Server {
   ServerEntry entry;
-  bool listed = false;            // ready in the list; else nothing new goes there
-  Time cold_until = -kNever;      // counts as cold until then
-  Time unproven_until = -kNever;  // only a cached list tells of it, or its calls were cut together
+  bool listed = false;        // ready in the list; else nothing new goes there
+  Time cold_until = -kNever;  // counts as cold until then
 
   Time marked_until = -kNever;  // answered full
-  double wait = 0;              // s; as the last set-ups that stood saw it
+  // Answered 'no free line'. Calls that stand there don't clear it: they took lines.
+  Time no_line_until = -kNever;
+  double wait = 0;  // s; as the last set-ups that stood saw it
   Time wait_at = -kNever;
   std::set<std::pair<Time, CallId>> unanswered;  // own set-ups out, oldest first
   double slow_delay = 0;                         // s; weights of the draw
@@ -121,13 +131,17 @@
   bool suspect = false;
   Time suspect_since = -kNever;
   bool unreachable = false;  // refused connections: taken for restarted, so cold, when it comes back
-  bool was_cut = false;      // lost its standing calls: may be restarted, may be not
   Time trial_at = -kNever;   // next single trial while suspect
   double trial_gap = kSuspectFirst;
   std::deque<Time> cuts;  // standing calls cut, lately
 
-  std::deque<Time> sends;  // attempts within the fall window
-  std::deque<Time> stood;  // stood within the rate window
+  std::deque<Time> sends;     // attempts within the fall window
+  std::deque<Time> answered;  // set-ups that stood or met a busy number, within the rate window
+};
+
+struct Number {
+  Time until = 0;  // taken for busy until then
+  double gap = 0;
 };
 
 bool usable(double value) { return std::isfinite(value) && value >= 0; }
@@ -166,6 +180,7 @@
     call.aim_end = now_ + class_of(call).aim_s;
     call.end = now_ + (usable(e.ttl_s) ? e.ttl_s : 0) - kEndMargin;
     call.worth = worth_of(call, e);
+    if (number_busy(call.key)) return refuse(call);
     if (Server* server = route(call)) {
       send(call, *server);
     } else {
@@ -240,10 +255,10 @@
   }
 
   bool has_room(const Call& call, Server& server) {
-    if (now_ < server.marked_until) return false;
+    if (now_ < server.marked_until || now_ < server.no_line_until) return false;
     if (server.spare && *server.spare < call.lines) return false;
     if (server.suspect && (now_ < server.trial_at || !server.unanswered.empty())) return false;
-    if (!within_cold_budget(server)) return false;
+    if (!within_cold_budget(server) || !within_answers(server)) return false;
     return expected_wait(server) <= room_limit(call);
   }
 
@@ -268,16 +283,25 @@
   // what itself saw a warm server of the kind take, which summed over all senders is at most a warm server's
   // capacity; or its share of what the server says that it can take.
   bool within_cold_budget(Server& server) {
-    const bool cold = now_ < server.cold_until;
-    if (!cold && now_ >= server.unproven_until) return true;
-    while (!server.sends.empty() && server.sends.front() <= now_ - settings_.fall_s) server.sends.pop_front();
-    const double sent = static_cast<double>(server.sends.size());
-    if (!cold) {
-      const auto since = std::upper_bound(server.stood.begin(), server.stood.end(), now_ - settings_.fall_s);
-      return sent < kUnprovenStart + 2.0 * static_cast<double>(server.stood.end() - since);
-    }
+    if (now_ >= server.cold_until) return true;
     const double part = settings_.overload_factor * settings_.start_capacity * kColdMargin;
-    return sent < std::max(1.0, part * warm_rate(server.entry.kind) * settings_.fall_s);
+    return within(server.sends, settings_.fall_s) <
+           std::max(1.0, part * warm_rate(server.entry.kind) * settings_.fall_s);
+  }
+
+  // Traffic to a server grows only as fast as it answers. A sender that has had little to do with a server
+  // can't know what it takes, and many senders that turn to it at once would each find it unmarked. This
+  // covers servers that swallow set-ups, idle slow ones in a surge, those back after cuts, and all of them
+  // after this proxy's own restart. It does harm where one sender's calls more than double within a second or
+  // two on a single fast server.
+  bool within_answers(Server& server) {
+    const double sent = within(server.sends, kAnswerWindow);
+    return sent < kAnswerStart + kAnswerGrowth * within(server.answered, kAnswerWindow);
+  }
+
+  double within(const std::deque<Time>& times, double window) const {
+    const auto since = std::upper_bound(times.begin(), times.end(), now_ - window);
+    return static_cast<double>(times.end() - since);
   }
 
   // Set-ups a second that this sender saw a warm server of the kind take, on average.
@@ -285,10 +309,11 @@
     double best = 0;
     for (auto& [id, server] : servers_) {
       if (server.entry.kind != kind || now_ < server.cold_until) continue;
-      while (!server.stood.empty() && server.stood.front() <= now_ - kRateWindow) server.stood.pop_front();
+      while (!server.answered.empty() && server.answered.front() <= now_ - kRateWindow)
+        server.answered.pop_front();
       const double span =
           std::clamp(now_ - start_, settings_.fall_s, std::max(kRateWindow, settings_.fall_s));
-      best = std::max(best, static_cast<double>(server.stood.size()) / span);
+      best = std::max(best, static_cast<double>(server.answered.size()) / span);
     }
     double& seen = warm_rate_[kind];
     seen = std::max(seen, best);
@@ -327,7 +352,7 @@
     call.sent = now_;
     server.unanswered.emplace(now_, call.id);
     server.sends.push_back(now_);
-    while (server.sends.front() <= now_ - settings_.fall_s) server.sends.pop_front();
+    while (server.sends.front() <= now_ - std::max(settings_.fall_s, kAnswerWindow)) server.sends.pop_front();
     emit(SendSetup{call.id, server.entry.id, call.end - now_});
   }
 
@@ -342,6 +367,7 @@
       return_suspect(*server);
     if (call == nullptr || call->state != Call::State::kInFlight) return;
     answered(*call);
+    busy_.erase(call->key);
     enter(*call, Call::State::kStanding);
   }
 
@@ -353,17 +379,19 @@
     server.slow_delay +=
         (delay > server.slow_delay ? kWeightFall : kWeightReturn) * (delay - server.slow_delay);
     server.marked_until = -kNever;
-    server.stood.push_back(now_);
-    while (server.stood.front() <= now_ - std::max(kRateWindow, settings_.fall_s)) server.stood.pop_front();
+    count_answer(server);
+  }
+
+  void count_answer(Server& server) {
+    server.answered.push_back(now_);
+    while (server.answered.front() <= now_ - std::max(kRateWindow, settings_.fall_s))
+      server.answered.pop_front();
     server.strikes = 0;
   }
 
   void return_suspect(Server& server) {
     if (server.unreachable) server.cold_until = now_ + settings_.warm_up_s;
-    if (server.was_cut) {
-      server.unproven_until = now_ + settings_.warm_up_s;
-      server.stood = {now_};
-    }
+    server.answered = {now_};
     clear_suspicion(server);
   }
 
@@ -386,13 +414,19 @@
       case Outcome::kEnded:
         return forget(*call);
       case Outcome::kFull:
+        if (e.cause == Cause::kNoLine) {  // no processor was asked: another server may be tried at once
+          if (Server* other = draw(*call, true)) return send(*call, *other);
+        }
         if (call->attempts == 1) return hold_or_refuse(*call);
         return refuse(*call);
       case Outcome::kConnectFailed:
       case Outcome::kNotSent:  // never ran: another server may be tried at once
         return try_again(*call);
       case Outcome::kError:
-        if (e.cause == Cause::kNumberBusy) return refuse(*call);
+        if (e.cause == Cause::kNumberBusy) {
+          note_busy(call->key);
+          return refuse(*call);
+        }
         [[fallthrough]];
       case Outcome::kTimedOut:
       case Outcome::kReset:
@@ -402,6 +436,27 @@
     }
   }
 
+  // One crowded number: its calls cost processors work and stand nowhere. It gets single tries at doubling
+  // gaps until one stands. Also catches a number that is out of order; does harm where a line frees within
+  // the gap.
+  void note_busy(std::uint64_t key) {
+    if (key == 0) return;
+    for (auto it = busy_.begin(); it != busy_.end();) {
+      it = it->second.until + kBusyLongest < now_ ? busy_.erase(it) : std::next(it);
+    }
+    Number& number = busy_[key];
+    number.gap = number.gap == 0 ? kBusyFirst : std::min(2 * number.gap, kBusyLongest);
+    number.until = now_ + number.gap;
+  }
+
+  bool number_busy(std::uint64_t key) {
+    const auto found = busy_.find(key);
+    if (found == busy_.end()) return false;
+    if (now_ < found->second.until) return true;
+    found->second.until = now_ + found->second.gap;  // this one is the trial
+    return false;
+  }
+
   void try_again(Call& call) {
     Server* server = draw(call, true);
     if (server == nullptr || server->entry.id == call.server) return refuse(call);
@@ -423,13 +478,15 @@
       if (e.outcome == Outcome::kReset) {
         server.cuts.push_back(now_);
         while (server.cuts.front() < now_ - kCutsTogether) server.cuts.pop_front();
-        if (server.cuts.size() >= kCutsToSuspect) server.was_cut = true, suspect(server);
+        if (server.cuts.size() >= kCutsToSuspect) suspect(server);
       }
       return;
     }
     switch (e.outcome) {
       case Outcome::kFull:
-        if (e.cause == Cause::kProcessorFull || e.cause == Cause::kNone) {
+        if (e.cause == Cause::kNoLine) {
+          server.no_line_until = now_ + std::max(spacing_, kMarkLeast);
+        } else {
           const double told = usable(e.told_wait_s) ? e.told_wait_s : 0;
           const double mark = told > 0 ? told : std::max(spacing_, kMarkLeast);
           server.marked_until = std::max(server.marked_until, now_ + mark);
@@ -450,6 +507,9 @@
       case Outcome::kNotSent:
         server.marked_until = std::max(server.marked_until, now_ + kMarkLeast);
         return;
+      case Outcome::kError:
+        if (e.cause == Cause::kNumberBusy) count_answer(server);
+        return;
       default:
         return;
     }
@@ -465,7 +525,7 @@
 
   void clear_suspicion(Server& server) {
     server.suspect = false;
-    server.unreachable = server.was_cut = false;
+    server.unreachable = false;
     server.strikes = 0;
     server.cuts.clear();
   }
@@ -522,15 +582,10 @@
     if (e.mode != ServerList::Mode::kDelta) {
       for (auto& [id, server] : servers_) server.listed = false;
     }
-    for (const ServerEntry& entry : e.entries) take_entry(entry, e.mode == ServerList::Mode::kCached);
-    if (e.mode == ServerList::Mode::kFull) {
-      for (auto& [id, server] : servers_) {
-        if (server.unproven_until == kNever) server.unproven_until = -kNever;
-      }
-    }
+    for (const ServerEntry& entry : e.entries) take_entry(entry);
   }
 
-  void take_entry(const ServerEntry& entry, bool cached) {
+  void take_entry(const ServerEntry& entry) {
     const bool known = servers_.count(entry.id) != 0;
     Server& server = servers_[entry.id];
     const bool restarted = known && entry.since > server.entry.since;
@@ -541,7 +596,6 @@
     }
     server.entry = entry;
     server.listed = entry.state == ServerEntry::State::kReady;
-    if (cached) server.unproven_until = kNever;
     if (entry.since > 0) server.cold_until = std::max(server.cold_until, entry.since + settings_.warm_up_s);
   }
 
@@ -604,6 +658,7 @@
   std::map<CallId, Call> calls_;
   std::map<ServerId, Server> servers_;
   std::map<std::uint32_t, double> warm_rate_;  // by kind
+  std::map<std::uint64_t, Number> busy_;       // numbers called that answered busy, by key
   double spacing_ = -1;                        // x; below 0: nothing stood yet
   std::uint32_t held_ = 0;
   Time last_due_ = 0;  // latest scheduled try
