--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -35,9 +35,12 @@
 
 // How soon a wait counts as 'no room'. A full queue here is far longer than the aim: by the time that full
 // answers come, every call is late.
-constexpr double kRoomAim = 0.4;       // share of the aim; the rest is for others' calls in the same queue
-constexpr double kRoomRepeat = 0.8;    // share of the time after which set-ups are repeated, which is work
-constexpr double kRoomLowWorth = 0.6;  // a worthless call sees this share of the room that the best one sees
+constexpr double kRoomAim = 0.4;     // share of the aim; the rest is for others' calls in the same queue
+constexpr double kRoomRepeat = 0.8;  // share of the time after which set-ups are repeated, which is work
+// The room that a call finds shrinks in proportion to its worth, so that what is lost under pressure is worth
+// least; but where it would stand about as soon as anything does, there is room for every call.
+constexpr double kRoomFloor = 1.2;         // times the shortest set-up of late
+constexpr double kShortestReturn = 0.005;  // share by which the shortest set-up follows a longer one
 
 // How old evidence of a wait fades, in seconds of wait for each second that passes.
 constexpr double kWaitDrain = 0.5;  // others go on sending, so a queue drains slower than time passes
@@ -274,7 +277,7 @@
   double room_limit(const Call& call) const {
     double limit = kRoomAim * class_of(call).aim_s;
     if (settings_.repeat_after_s > 0) limit = std::min(limit, kRoomRepeat * settings_.repeat_after_s);
-    limit *= kRoomLowWorth + (1 - kRoomLowWorth) * call.worth;
+    limit = std::max(limit * call.worth, kRoomFloor * shortest_);
     const Time end = now_ < call.aim_end ? std::min(call.aim_end, call.end) : call.end;
     return std::min(limit, end - now_);
   }
@@ -372,6 +375,8 @@
   }
 
   void learn_stood(Server& server, double delay) {
+    shortest_ =
+        shortest_ == 0 || delay < shortest_ ? delay : shortest_ + kShortestReturn * (delay - shortest_);
     spacing_ = spacing_ < 0 ? delay : spacing_ + kSpacingGain * (delay - spacing_);
     const double before = std::max(0.0, server.wait - kWaitDrain * (now_ - server.wait_at));
     server.wait = before + kWaitGain * (delay - before);
@@ -660,6 +665,7 @@
   std::map<std::uint32_t, double> warm_rate_;  // by kind
   std::map<std::uint64_t, Number> busy_;       // numbers called that answered busy, by key
   double spacing_ = -1;                        // x; below 0: nothing stood yet
+  double shortest_ = 0;                        // s; the shortest set-up delay of late, anywhere
   std::uint32_t held_ = 0;
   Time last_due_ = 0;  // latest scheduled try
 };
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -322,6 +322,16 @@
   EXPECT_GT(high, low);
 }
 
+// However little a call is worth, where it would stand as soon as anything does there is room for it.
+TEST(Room, TheLeastWorthIsNotStarved) {
+  Settings s = usual();
+  s.classes[1].value = 1000;
+  Bench b(s);
+  b.servers(1);
+  b.warm(10, 0, 0.1);
+  EXPECT_EQ(b.sends(b.call(1, 0, 3, 0)), 1);
+}
+
 // ---- The five rules ----
 
 TEST(Rules, OneFinalAnswerBeforeTheCallersEnd) {
