--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -53,6 +53,8 @@
 
 // Suspicion: a server that loses set-ups is left alone, then tried by one single set-up, at doubling gaps.
 constexpr int kStrikesToSuspect = 2;     // unanswered set-ups in a row; one may be chance
+constexpr int kFaultsToSuspect = 6;      // quick faults in a row: by then it is hardly chance
+constexpr double kFaultGain = 0.1;       // share of a new answer in a server's share of faults
 constexpr double kSuspectFirst = 0.5;    // s until the first trial
 constexpr double kSuspectLongest = 8.0;  // s between trials at most
 constexpr double kCutsTogether = 0.3;    // s; this many standing calls cut within it mean a crash
@@ -60,7 +62,7 @@
 
 // Cold servers: share of the allowed load that all senders together aim at. The rest is for chance, for
 // repeats that are not seen here, and for senders whose calls grow.
-constexpr double kColdMargin = 0.5;
+constexpr double kColdMargin = 0.7;
 constexpr double kRateWindow = 4.0;  // s over which a server's rate of set-ups is seen
 
 // Traffic to a server grows as it answers: within the window, this many set-ups and a little more than were
@@ -136,6 +138,7 @@
   bool unreachable = false;  // refused connections: taken for restarted, so cold, when it comes back
   Time trial_at = -kNever;   // next single trial while suspect
   double trial_gap = kSuspectFirst;
+  double faults = 0;      // share of faults in signalling among the last answers
   std::deque<Time> cuts;  // standing calls cut, lately
 
   std::deque<Time> sends;     // attempts within the fall window
@@ -223,7 +226,8 @@
       if (!allowed(call, server) || server.suspect) continue;
       if (with_room && !has_room(call, server)) continue;
       const double delay = server.slow_delay + kWeightFloor;
-      const double weight = (usable(server.entry.weight) ? server.entry.weight : 1) / (delay * delay);
+      const double weight =
+          (usable(server.entry.weight) ? server.entry.weight : 1) * (1 - server.faults) / (delay * delay);
       total += weight;
       drawn.emplace_back(&server, weight);
     }
@@ -277,19 +281,21 @@
   double room_limit(const Call& call) const {
     double limit = kRoomAim * class_of(call).aim_s;
     if (settings_.repeat_after_s > 0) limit = std::min(limit, kRoomRepeat * settings_.repeat_after_s);
-    limit = std::max(limit * call.worth, kRoomFloor * shortest_);
+    limit = std::max(limit * call.worth, std::min(limit, kRoomFloor * shortest_));
     const Time end = now_ < call.aim_end ? std::min(call.aim_end, call.end) : call.end;
     return std::min(limit, end - now_);
   }
 
-  // The fourth rule. All senders together must stay under factor x present capacity. Each takes its own part:
-  // what itself saw a warm server of the kind take, which summed over all senders is at most a warm server's
-  // capacity; or its share of what the server says that it can take.
+  // The fourth rule. All senders together must stay under factor x present capacity within each fall window.
+  // Each takes its own part, of the start capacity of what itself saw a warm server of the kind take, or of
+  // what the cold one answered it in the last window: summed over all senders neither is more than the server
+  // can do.
   bool within_cold_budget(Server& server) {
     if (now_ >= server.cold_until) return true;
-    const double part = settings_.overload_factor * settings_.start_capacity * kColdMargin;
+    const double part = settings_.start_capacity * warm_rate(server.entry.kind) * settings_.fall_s;
+    const double proved = within(server.answered, settings_.fall_s);
     return within(server.sends, settings_.fall_s) <
-           std::max(1.0, part * warm_rate(server.entry.kind) * settings_.fall_s);
+           std::max(1.0, kColdMargin * settings_.overload_factor * std::max(part, proved));
   }
 
   // Traffic to a server grows only as fast as it answers. A sender that has had little to do with a server
@@ -363,14 +369,15 @@
 
   void on(const SetupStood& e) {
     Call* call = current(e.call, e.attempt);
-    Server* server = find(e.server);
-    if (server != nullptr && usable(e.spent_s)) learn_stood(*server, e.spent_s);
-    // A set-up sent before the trouble says nothing about the server after it.
-    if (server != nullptr && server->suspect && now_ - e.spent_s >= server->suspect_since)
-      return_suspect(*server);
     if (call == nullptr || call->state != Call::State::kInFlight) return;
     answered(*call);
     busy_.erase(call->key);
+    Server* server = find(e.server);
+    if (server != nullptr && usable(e.spent_s)) {
+      learn_stood(*server, e.spent_s);
+      // A set-up sent before the trouble says nothing about the server after it.
+      if (server->suspect && now_ - e.spent_s >= server->suspect_since) return_suspect(*server);
+    }
     enter(*call, Call::State::kStanding);
   }
 
@@ -384,6 +391,7 @@
     server.slow_delay +=
         (delay > server.slow_delay ? kWeightFall : kWeightReturn) * (delay - server.slow_delay);
     server.marked_until = -kNever;
+    server.faults -= kFaultGain * server.faults;
     count_answer(server);
   }
 
@@ -425,14 +433,16 @@
         if (call->attempts == 1) return hold_or_refuse(*call);
         return refuse(*call);
       case Outcome::kConnectFailed:
-      case Outcome::kNotSent:  // never ran: another server may be tried at once
+      case Outcome::kNotSent:  // never ran, and the server is marked or suspect: another may be tried at once
         return try_again(*call);
       case Outcome::kError:
         if (e.cause == Cause::kNumberBusy) {
           note_busy(call->key);
           return refuse(*call);
         }
-        [[fallthrough]];
+        // A fault in signalling: it may have run, but holds nothing that must be released first.
+        call->in_doubt = true;
+        return try_again(*call);
       case Outcome::kTimedOut:
       case Outcome::kReset:
       case Outcome::kCancelled:
@@ -464,7 +474,7 @@
 
   void try_again(Call& call) {
     Server* server = draw(call, true);
-    if (server == nullptr || server->entry.id == call.server) return refuse(call);
+    if (server == nullptr) return refuse(call);
     send(call, *server);
   }
 
@@ -513,7 +523,15 @@
         server.marked_until = std::max(server.marked_until, now_ + kMarkLeast);
         return;
       case Outcome::kError:
-        if (e.cause == Cause::kNumberBusy) count_answer(server);
+        if (e.cause == Cause::kNumberBusy) {
+          count_answer(server);
+        } else {
+          server.faults += kFaultGain * (1 - server.faults);
+          const int in_a_row = server.strikes + 1;
+          count_answer(server);
+          server.strikes = in_a_row;
+          if (in_a_row >= kFaultsToSuspect) suspect(server);
+        }
         return;
       default:
         return;
@@ -596,6 +614,7 @@
     const bool restarted = known && entry.since > server.entry.since;
     if (restarted) {
       server.wait = 0;
+      server.answered.clear();
       server.marked_until = -kNever;
       clear_suspicion(server);
     }
