--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -53,6 +53,7 @@
 
 // Suspicion: a server that loses set-ups is left alone, then tried by one single set-up, at doubling gaps.
 constexpr int kStrikesToSuspect = 2;     // unanswered set-ups in a row; one may be chance
+constexpr double kOvertaken = 0.3;       // s; one overtaken by a set-up sent so much later is lost
 constexpr int kFaultsToSuspect = 6;      // quick faults in a row: by then it is hardly chance
 constexpr double kFaultGain = 0.1;       // share of a new answer in a server's share of faults
 constexpr double kSuspectFirst = 0.5;    // s until the first trial
@@ -103,11 +104,12 @@
   std::uint64_t key = 0;
   double lines = 1;
   std::int64_t first_choice = -1;
-  double worth = 1;       // what serving it is worth now, over the best worth of the site
-  Time aim_end = 0;       // stands by then: full worth
-  Time end = 0;           // the final answer is due before
-  Time not_before = 0;    // release is awaited until then
-  bool in_doubt = false;  // some attempt may have run
+  double worth = 1;         // what serving it is worth now, over the best worth of the site
+  Time aim_end = 0;         // stands by then: full worth
+  Time end = 0;             // the final answer is due before
+  Time not_before = 0;      // release is awaited until then
+  bool called_off = false;  // the attempt that is out was cancelled
+  bool in_doubt = false;    // some attempt may have run
   State state = State::kArriving;
   std::uint32_t generation = 0;  // timers of earlier states carry another one
   std::uint32_t attempts = 0;
@@ -126,6 +128,7 @@
   double wait = 0;  // s; as the last set-ups that stood saw it
   Time wait_at = -kNever;
   std::set<std::pair<Time, CallId>> unanswered;  // own set-ups out, oldest first
+  Time answered_sent = -kNever;                  // when the latest of those that were answered was sent
   double slow_delay = 0;                         // s; weights of the draw
   double told_wait = 0;                          // s; by report
   Time told_at = -kNever;
@@ -274,7 +277,9 @@
   double expected_wait(const Server& server) const {
     double wait = std::max(0.0, server.wait - kWaitDrain * (now_ - server.wait_at));
     wait = std::max(wait, server.told_wait - kWaitDrain * (now_ - server.told_at));
-    if (!server.unanswered.empty()) wait = std::max(wait, now_ - server.unanswered.begin()->first);
+    // One overtaken by a later answer is lost, not waiting: processors take set-ups in turn.
+    const auto oldest = server.unanswered.lower_bound({server.answered_sent, 0});
+    if (oldest != server.unanswered.end()) wait = std::max(wait, now_ - oldest->first);
     return wait;
   }
 
@@ -357,6 +362,7 @@
     }
     enter(call, Call::State::kInFlight);
     call.attempts += 1;
+    call.called_off = false;
     call.server = server.entry.id;
     call.sent = now_;
     server.unanswered.emplace(now_, call.id);
@@ -374,13 +380,32 @@
     busy_.erase(call->key);
     Server* server = find(e.server);
     if (server != nullptr && usable(e.spent_s)) {
+      server->answered_sent = std::max(server->answered_sent, call->sent);
       learn_stood(*server, e.spent_s);
+      give_up_lost(*server);
       // A set-up sent before the trouble says nothing about the server after it.
       if (server->suspect && now_ - e.spent_s >= server->suspect_since) return_suspect(*server);
     }
     enter(*call, Call::State::kStanding);
   }
 
+  // Set-ups overtaken by far are lost, or their answers are. Called off now, such a call may still stand in
+  // time elsewhere. Also catches a processor that forgets single set-ups; does harm where one serves out of
+  // turn.
+  void give_up_lost(Server& server) {
+    if (!settings_.can_cancel) return;
+    for (const auto& [sent, id] : server.unanswered) {
+      if (sent >= server.answered_sent - kOvertaken) break;
+      const auto found = calls_.find(id);
+      if (found == calls_.end() || found->second.called_off) continue;
+      Call& call = found->second;
+      if (call.end - now_ < settings_.release_wait_s + std::max(kLeastTry, 2 * spacing_)) continue;
+      if (call.attempts >= settings_.attempt_limit || class_of(call).effect != Effect::kRepeatable) continue;
+      call.called_off = true;
+      emit(CancelAttempt{call.id, call.attempts - 1});
+    }
+  }
+
   void learn_stood(Server& server, double delay) {
     shortest_ =
         shortest_ == 0 || delay < shortest_ ? delay : shortest_ + kShortestReturn * (delay - shortest_);
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -619,6 +619,44 @@
   EXPECT_LE(faults, 8);
 }
 
+// Incident i41fb46: single set-ups or their answers were lost everywhere. Each lost one closed its server to
+// this sender for as long as its caller waited.
+TEST(Failures, ALostSetupIsOvertakenAndCalledOff) {
+  Bench b;
+  b.servers(1);
+  b.warm(10, 0, 0.05);
+  ASSERT_EQ(b.sends(b.call(1, 0)), 1);  // lost
+  bool called_off = false;
+  for (CallId id = 2; id < 12; ++id) {
+    ASSERT_EQ(b.sends(b.call(id, 0)), 1) << "the server is open at " << b.now;
+    b.until(b.now + 0.08);
+    for (const Action& a : b.stood(id, 10, 0.08)) {
+      const auto* cancel = std::get_if<CancelAttempt>(&a);
+      ASSERT_NE(cancel, nullptr);
+      EXPECT_EQ(cancel->call, 1u);
+      EXPECT_FALSE(called_off) << "once only";
+      called_off = true;
+    }
+  }
+  EXPECT_TRUE(called_off);
+  b.ended(1, 10, Outcome::kCancelled);
+  EXPECT_EQ(b.sends(b.until(b.now + 0.49)), 0);
+  EXPECT_EQ(b.sends(b.until(b.now + 0.05)), 1);
+}
+
+TEST(Failures, NothingIsCalledOffWhereThatIsNotAllowed) {
+  Settings s = usual();
+  s.can_cancel = false;
+  Bench b(s);
+  b.servers(1);
+  b.call(1, 0);
+  for (CallId id = 2; id < 12; ++id) {
+    b.call(id, 0);
+    b.until(b.now + 0.08);
+    for (const Action& a : b.stood(id, 10, 0.08)) EXPECT_FALSE(std::holds_alternative<CancelAttempt>(a));
+  }
+}
+
 // Incident i02fda5: half of all attempts went to one crowded number. It gets single tries at doubling gaps.
 TEST(Failures, ACrowdedNumberIsTriedSinglyUntilALineIsFree) {
   Bench b;
