--- a/include/mintrock/controller.hpp
+++ b/include/mintrock/controller.hpp
@@ -26,20 +26,12 @@
 // What the operators tell a Controller once, at start. Each default is what is assumed when nothing was told.
 struct Settings {
   struct Class {
-    double aim_s = 1.0;       // stands within this time: full worth
-    double deadline_s = 5.0;  // the caller's patience from the first try
-    double value = 1.0;       // worth of a call that stands
-    double late_share = 0.0;  // share of the worth when it stands after the aim
+    double aim_s = 1.0;  // stands within this time: full worth
+    double value = 1.0;  // worth of a call that stands
     Effect effect = Effect::kRepeatable;
     std::vector<std::uint32_t> nodes;  // nodes that may take it; empty: all
   };
-  struct Tenant {
-    double allowance_per_s = 0.0;  // calls a second inside its share, over all proxies; 0: no limit told
-  };
   std::vector<Class> classes;
-  std::vector<Tenant> tenants;
-  std::uint32_t fleet_size = 1;     // proxies that share the servers
-  double over_share_worth = 1.0;    // what a call over its tenant's allowance keeps of its worth
   double release_wait_s = 0.0;      // after an attempt in doubt, wait this long before the next
   double repeat_after_s = 0.0;      // a waiting set-up is repeated by itself after this; 0: never
   double start_capacity = 1.0;      // a server starts at this share of its capacity, or more
@@ -55,12 +47,8 @@
 
 // A server's load report. Any subset may be present, noisy and some time old.
 struct Report {
-  std::optional<double> spare;          // free lines toward the server, exact
-  std::optional<double> total;          // its lines, exact
-  std::optional<double> wait_s;         // wait at its processor
-  std::optional<double> allowed_per_s;  // set-ups a second it can take from all proxies
-  std::optional<double> busy_share;     // share of its processor that is busy
-  std::optional<double> queue;          // set-ups waiting there
+  std::optional<double> spare;   // free lines toward the server, exact
+  std::optional<double> wait_s;  // wait at its processor
 };
 
 struct ServerEntry {
@@ -88,7 +76,6 @@
 struct NewCall {
   CallId call = 0;
   std::uint32_t call_class = 0;
-  std::uint32_t tenant = 0;
   std::uint64_t key = 0;           // stands for the called number; 0: none
   double ttl_s = 0;                // the caller gives this try up after this long
   double lines = 1;                // lines that it takes
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -79,11 +79,6 @@
 // A redialled call has lost some of its time for full worth already; how much is not told.
 constexpr double kRedialWorth = 0.5;
 
-// A tenant's calls over this proxy's part of its allowance are worth less; both for chance and uneven
-// proxies.
-constexpr double kShareWindow = 4.0;  // s
-constexpr double kShareSlack = 1.5;   // times the part
-
 // An attempt is given up this long before the caller's own end, so that the final answer is in time.
 constexpr double kEndMargin = 0.05;       // s
 constexpr double kReleaseMargin = 0.005;  // s on top of the release wait, for the rounding of clocks
@@ -137,7 +132,6 @@
   double slow_delay = 0;                         // s; weights of the draw
   double told_wait = 0;                          // s; by report
   Time told_at = -kNever;
-  double told_allowed = 0;      // set-ups a second, by report
   std::optional<double> spare;  // free lines
 
   int strikes = 0;  // set-ups lost in a row
@@ -166,7 +160,6 @@
  public:
   Impl(const Settings& settings, std::uint64_t seed) : settings_(settings), random_(seed) {
     for (const Settings::Class& c : settings_.classes) best_worth_ = std::max(best_worth_, c.value);
-    if (settings_.fleet_size == 0) settings_.fleet_size = 1;
   }
 
   void handle(Time now, const Event& event, std::vector<Action>& actions) {
@@ -206,21 +199,9 @@
   double worth_of(const Call& call, const NewCall& e) {
     double worth = class_of(call).value / best_worth_;
     if (e.redialled && !e.was_cut) worth *= kRedialWorth;
-    if (over_share(e.tenant)) worth *= settings_.over_share_worth;
     return worth;
   }
 
-  // This proxy knows its own calls only, and proxies differ in size: it takes a tenant for over its share
-  // where its own calls pass its part of the allowance by a good margin.
-  bool over_share(std::uint32_t tenant) {
-    if (tenant >= settings_.tenants.size() || settings_.tenants[tenant].allowance_per_s <= 0) return false;
-    std::deque<Time>& calls = tenant_calls_[tenant];
-    calls.push_back(now_);
-    while (calls.front() <= now_ - kShareWindow) calls.pop_front();
-    const double part = settings_.tenants[tenant].allowance_per_s / settings_.fleet_size;
-    return static_cast<double>(calls.size()) > kShareSlack * part * kShareWindow;
-  }
-
   // The first choice while it has room, else a weighted draw over the other allowed servers with room.
   Server* route(const Call& call) {
     for (auto& [id, server] : servers_) {
@@ -251,7 +232,6 @@
       total += weight;
       drawn.emplace_back(&server, weight);
     }
-    if (drawn.empty() && !with_room) return draw_suspect(call);
     if (drawn.empty()) return draw_suspect(call);
     double mark = uniform() * total;
     for (auto& [server, weight] : drawn) {
@@ -724,10 +704,9 @@
   std::map<CallId, Call> calls_;
   std::map<ServerId, Server> servers_;
   std::map<std::uint32_t, double> warm_rate_;  // by kind
-  std::map<std::uint32_t, std::deque<Time>> tenant_calls_;
-  std::map<std::uint64_t, Number> busy_;  // numbers called that answered busy, by key
-  double spacing_ = -1;                   // x; below 0: nothing stood yet
-  double shortest_ = 0;                   // s; the shortest set-up delay of late, anywhere
+  std::map<std::uint64_t, Number> busy_;       // numbers called that answered busy, by key
+  double spacing_ = -1;                        // x; below 0: nothing stood yet
+  double shortest_ = 0;                        // s; the shortest set-up delay of late, anywhere
   std::uint32_t held_ = 0;
   Time last_due_ = 0;  // latest scheduled try
 };
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -129,7 +129,7 @@
   call.redialled = (bits & kRedialled) != 0;
   call.was_cut = (bits & kWasCut) != 0;
   in.f32();  // advice on a route: none of the sites gives any
-  call.tenant = in.u16();
+  in.u16();  // its tenant: not used
   const double dest = in.f32();
   if (dest >= 0 && dest < 65536) call.first_choice = static_cast<std::int64_t>(dest);
   const double lines = in.f32();
@@ -318,9 +318,7 @@
 void read_class(const Pairs& pairs, std::size_t index, Settings::Class& out) {
   const std::string base = "classes." + std::to_string(index) + ".";
   pairs.read(base + "goal_time_s", out.aim_s);
-  pairs.read(base + "deadline_s", out.deadline_s);
   pairs.read(base + "value", out.value);
-  pairs.read(base + "late_share", out.late_share);
   if (const std::string* effect = pairs.find(base + "effect")) {
     if (*effect == "repeatable") {
       out.effect = Effect::kRepeatable;
@@ -409,12 +407,6 @@
   Settings& s = out.settings;
   s.classes.resize(pairs.count("classes"));
   for (std::size_t i = 0; i < s.classes.size(); ++i) read_class(pairs, i, s.classes[i]);
-  s.tenants.resize(pairs.count("tenants"));
-  for (std::size_t i = 0; i < s.tenants.size(); ++i) {
-    pairs.read("tenants." + std::to_string(i) + ".allowance_per_s", s.tenants[i].allowance_per_s);
-  }
-  pairs.read("fleet_size", s.fleet_size);
-  pairs.read("over_share_worth", s.over_share_worth);
   pairs.read("domain.clear_wait_s", s.release_wait_s);
   pairs.read("domain.t1_s", s.repeat_after_s);
   pairs.read("rules.start_capacity", s.start_capacity);
@@ -427,9 +419,8 @@
   pairs.read("limits.retry_after", s.gives_retry_after);
   if (const std::string* mode = pairs.find("registry_mode")) s.asks_for_list = *mode == "ask";
   if (const std::string* fields = pairs.find("load_info.fields")) {
-    static const std::pair<const char*, Field> kNames[] = {
-        {"spare", Field::kSpare},     {"total", Field::kTotal},          {"mean_ms", Field::kWaitMs},
-        {"allowed", Field::kAllowed}, {"load_share", Field::kBusyShare}, {"depth", Field::kQueue}};
+    static const std::pair<const char*, Field> kNames[] = {{"spare", Field::kSpare},
+                                                           {"mean_ms", Field::kWaitMs}};
     for (const std::string& name : Pairs::split(*fields)) {
       Field field = Field::kUnknown;
       for (const auto& [known, value] : kNames) {
@@ -449,21 +440,9 @@
       case Field::kSpare:
         report.spare = value;
         break;
-      case Field::kTotal:
-        report.total = value;
-        break;
       case Field::kWaitMs:
         report.wait_s = value / 1000.0;
         break;
-      case Field::kAllowed:
-        report.allowed_per_s = value;
-        break;
-      case Field::kBusyShare:
-        report.busy_share = value;
-        break;
-      case Field::kQueue:
-        report.queue = value;
-        break;
       case Field::kUnknown:
         break;
     }
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -15,8 +15,7 @@
 
 Settings usual() {
   Settings s;
-  s.classes = {{1.2, 9, 1, 0.25, Effect::kRepeatable, {}}, {1.5, 9, 4, 0.25, Effect::kRepeatable, {}}};
-  s.fleet_size = 4;
+  s.classes = {{1.2, 1, Effect::kRepeatable, {}}, {1.5, 4, Effect::kRepeatable, {}}};
   s.release_wait_s = 0.5;
   s.start_capacity = 0.3;
   s.warm_up_s = 12;
@@ -171,7 +170,7 @@
   b.servers(1);
   b.warm(10, 0, 0.3);
   b.call(1, 0);
-  b.full(1, 10, 0, 5);  // x = 0.3, aim 1.2: at most 4 held
+  b.full(1, 10, 0, 5);  // x = 0.3, aim 1.2, and x of it is for the set-up: at most 3 held
   std::vector<Time> due = {b.next_timer()};
   EXPECT_NEAR(due[0], b.now + 0.3, 1e-6);
   int held = 1;
@@ -185,8 +184,7 @@
       EXPECT_GT(b.refused(out)->retry_after_s, 0);
     }
   }
-  EXPECT_GE(held, 3);
-  EXPECT_LE(held, 4);
+  EXPECT_EQ(held, 3);
 }
 
 TEST(Path, ADueTryThatMeetsAMarkIsRefused) {
@@ -288,7 +286,7 @@
   b.servers(2);
   Report report;
   for (const double bad : {std::nan(""), -1.0, std::numeric_limits<double>::infinity()}) {
-    report.wait_s = report.spare = report.queue = report.busy_share = report.allowed_per_s = bad;
+    report.wait_s = report.spare = bad;
     b.pass(LoadNotice{10, report});
   }
   EXPECT_EQ(b.sent_to(b.call(1, 0)), 10u);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -144,12 +144,10 @@
   EXPECT_EQ(s.classes[0].nodes, (std::vector<std::uint32_t>{0, 3}));
   EXPECT_EQ(s.release_wait_s, 0.5);
   EXPECT_EQ(s.repeat_after_s, 0.25);
-  EXPECT_EQ(s.fleet_size, 4u);
   EXPECT_EQ(s.attempt_limit, 3u);
   EXPECT_TRUE(s.can_cancel);
-  EXPECT_EQ(s.tenants.at(0).allowance_per_s, 9);
   EXPECT_EQ(parsed.fields,
-            (std::vector<Field>{Field::kSpare, Field::kTotal, Field::kWaitMs, Field::kUnknown}));
+            (std::vector<Field>{Field::kSpare, Field::kUnknown, Field::kWaitMs, Field::kUnknown}));
 }
 
 TEST(Wire, MissingSettingsKeepTheirDefaults) {
@@ -162,9 +160,9 @@
 
 TEST(Wire, RefusesNonsenseInSettings) {
   for (const char* bad :
-       {"fleet_size=-1", "fleet_size=x", "fleet_size=1.5", "classes.count=99999999", "no_equals_sign", "=3",
-        "limits.cancelling=maybe", "classes.count=1\nclasses.0.effect=magic", "rules.fall_s=nan",
-        "domain.clear_wait_s=inf", "classes.count=1\ndomain.skilled_pools.0=0,a"}) {
+       {"limits.try_limit=-1", "limits.try_limit=x", "limits.try_limit=1.5", "classes.count=99999999",
+        "no_equals_sign", "=3", "limits.cancelling=maybe", "classes.count=1\nclasses.0.effect=magic",
+        "rules.fall_s=nan", "domain.clear_wait_s=inf", "classes.count=1\ndomain.skilled_pools.0=0,a"}) {
     EXPECT_THROW(parse_settings(bad), WireError) << bad;
   }
 }
@@ -185,10 +183,9 @@
   EXPECT_EQ(end.ended.outcome, Outcome::kFull);
   EXPECT_EQ(end.ended.cause, Cause::kProcessorFull);
   EXPECT_EQ(end.ended.told_wait_s, 0.25);
-  const Report report = make_report({Field::kSpare, Field::kTotal, Field::kWaitMs}, end.telemetry);
+  const Report report = make_report({Field::kSpare, Field::kUnknown, Field::kWaitMs}, end.telemetry);
   EXPECT_EQ(report.spare, 3);
   EXPECT_EQ(report.wait_s, 0.12);
-  EXPECT_FALSE(report.queue.has_value());
 }
 
 TEST(Wire, EveryTruncationThrows) {
@@ -277,7 +274,7 @@
   expect_plain_failure(framed(std::string(1, '\x63')));
   expect_plain_failure(framed(new_call(1)));
   expect_plain_failure(framed(for_instance(3) + new_call(1)));
-  expect_plain_failure(framed(for_instance(3) + power_on("fleet_size=-3")));
+  expect_plain_failure(framed(for_instance(3) + power_on("limits.try_limit=-3")));
   expect_plain_failure(good + framed(std::string("\x0c\x00\x03\x02\x00\x00\x00\x01\x01\x07", 10)));
   expect_plain_failure(framed("", std::numeric_limits<double>::quiet_NaN()));
   expect_plain_failure(std::string("\xff\xff\xff\xff", 4) + good.substr(4));
