--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -46,6 +46,8 @@
 constexpr double kWaitDrain = 0.5;  // others go on sending, so a queue drains slower than time passes
 constexpr double kWaitGain = 0.5;   // share of a new delay in a server's wait
 
+constexpr double kReportLife = 2.0;  // s until a report of free lines is too old to close a server
+
 // Weights of the draw: fall at once with a longer set-up delay, come back slowly.
 constexpr double kWeightFall = 0.5;
 constexpr double kWeightReturn = 0.1;
@@ -133,6 +135,7 @@
   double told_wait = 0;                          // s; by report
   Time told_at = -kNever;
   std::optional<double> spare;  // free lines
+  Time spare_at = -kNever;
 
   int strikes = 0;  // set-ups lost in a row
   bool suspect = false;
@@ -263,7 +266,8 @@
 
   bool has_room(const Call& call, Server& server) {
     if (now_ < server.marked_until || now_ < server.no_line_until) return false;
-    if (server.spare && *server.spare < call.lines) return false;
+    // Guards against a report of full lines that no later one takes back.
+    if (server.spare && now_ < server.spare_at + kReportLife && *server.spare < call.lines) return false;
     if (server.suspect && (now_ < server.trial_at || !server.unanswered.empty())) return false;
     if (!within_cold_budget(server) || !within_answers(server)) return false;
     return expected_wait(server) <= room_limit(call);
@@ -650,7 +654,10 @@
   }
 
   void take_report(Server& server, const Report& report) {
-    if (report.spare && usable(*report.spare)) server.spare = *report.spare;
+    if (report.spare && usable(*report.spare)) {
+      server.spare = *report.spare;
+      server.spare_at = now_;
+    }
     if (report.wait_s && usable(*report.wait_s)) {
       server.told_wait = *report.wait_s;
       server.told_at = now_;
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -301,6 +301,17 @@
   EXPECT_TRUE(b.held(b.call(3, 0)));
 }
 
+TEST(Room, AReportOfFullLinesAgesOut) {
+  Bench b;
+  b.servers(1);
+  Report report;
+  report.spare = 0;
+  b.pass(LoadNotice{10, report});
+  EXPECT_EQ(b.sends(b.call(1, 0)), 0);
+  b.until(b.now + 3);
+  EXPECT_EQ(b.sends(b.call(2, 0)), 1) << "no later report came";
+}
+
 TEST(Room, UnderPressureWorthComesFirst) {
   Bench b;
   b.servers(1);
