--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -64,9 +64,10 @@
 constexpr std::size_t kCutsToSuspect = 2;
 
 // Cold servers: share of the allowed load that all senders together aim at. The rest is for chance, for
-// repeats that are not seen here, and for senders whose calls grow.
-constexpr double kColdMargin = 0.7;
-constexpr double kRateWindow = 4.0;  // s over which a server's rate of set-ups is seen
+// repeats that are not seen here, and for turns that many senders kept and use at the same moment.
+constexpr double kColdMargin = 0.5;
+constexpr double kRateWindow = 10.0;  // s over which a sender's rate of set-ups is averaged
+constexpr double kProof = 4;          // answers within a fall window that prove a rate; fewer may be chance
 
 // Traffic to a server grows as it answers: within the window, this many set-ups and a little more than were
 // answered.
@@ -119,6 +120,17 @@
   Time sent = 0;
 };
 
+// A rate of events, a second, averaged over the rate window.
+struct Average {
+  double value = 0;
+  Time at = 0;
+  double now(Time time) const { return value * std::exp(-(time - at) / kRateWindow); }
+  void count(Time time) {
+    value = now(time) + 1 / kRateWindow;
+    at = time;
+  }
+};
+
 struct Server {
   ServerEntry entry;
   bool listed = false;        // ready in the list; else nothing new goes there
@@ -146,8 +158,13 @@
   double faults = 0;      // share of faults in signalling among the last answers
   std::deque<Time> cuts;  // standing calls cut, lately
 
-  std::deque<Time> sends;     // attempts within the fall window
-  std::deque<Time> answered;  // set-ups that stood or met a busy number, within the rate window
+  std::deque<Time> sends;     // attempts, lately
+  std::deque<Time> answered;  // set-ups that stood or met a busy number, lately
+  Average rate;               // of the same, a second
+
+  double turn = 0;        // a cold server: this sender's next turn comes when this much of its part
+  double turn_saved = 0;  // has been saved up to
+  Time turn_at = -kNever;
 };
 
 struct Number {
@@ -293,15 +310,36 @@
   }
 
   // The fourth rule. All senders together must stay under factor x present capacity within each fall window.
-  // Each takes its own part, of the start capacity of what itself saw a warm server of the kind take, or of
-  // what the cold one answered it in the last window: summed over all senders neither is more than the server
-  // can do.
+  // Each takes its own part of it. With hundreds of senders a part is far less than one set-up a window, so
+  // it is saved up: a turn comes at random, on average as often as the part says, and lapses when not used
+  // within the fall window; else turns kept by all would be used at once in the next surge. Suspects may be
+  // back cold before the list tells, so their trials keep to it as well. It does harm where a cold server
+  // could take far more than the told start: its first calls go elsewhere.
   bool within_cold_budget(Server& server) {
-    if (now_ >= server.cold_until) return true;
-    const double part = settings_.start_capacity * warm_rate(server.entry.kind) * settings_.fall_s;
+    if (now_ >= server.cold_until && !server.suspect) return true;
+    const double part = cold_part(server);
+    if (server.turn_at == -kNever || server.turn_saved > server.turn + part * settings_.fall_s) {
+      next_turn(server);
+    }
+    server.turn_saved += part * (now_ - server.turn_at);
+    server.turn_at = now_;
+    return server.turn_saved >= server.turn && server.turn_saved <= server.turn + part * settings_.fall_s;
+  }
+
+  void next_turn(Server& server) {
+    server.turn = -std::log1p(-uniform());
+    server.turn_saved = 0;
+    server.turn_at = now_;
+  }
+
+  // Set-ups a second that this sender may send a cold server: of the start capacity of what warm servers of
+  // the kind take, by its own calls, or of what the cold one answered it in the last window. Both are
+  // unbiased, so summed over all senders neither is more than the server can do.
+  double cold_part(const Server& server) {
     const double proved = within(server.answered, settings_.fall_s);
-    return within(server.sends, settings_.fall_s) <
-           std::max(1.0, kColdMargin * settings_.overload_factor * std::max(part, proved));
+    return kColdMargin * settings_.overload_factor *
+           std::max(settings_.start_capacity * warm_rate(server.entry.kind),
+                    proved >= kProof ? proved / settings_.fall_s : 0);
   }
 
   // Traffic to a server grows only as fast as it answers. A sender that has had little to do with a server
@@ -319,19 +357,18 @@
     return static_cast<double>(times.end() - since);
   }
 
-  // Set-ups a second that this sender saw a warm server of the kind take, on average.
+  // Set-ups a second that this sender saw the warm servers of a kind take, on average over all of them.
   double warm_rate(std::uint32_t kind) {
-    double best = 0;
-    for (auto& [id, server] : servers_) {
-      if (server.entry.kind != kind || now_ < server.cold_until) continue;
-      while (!server.answered.empty() && server.answered.front() <= now_ - kRateWindow)
-        server.answered.pop_front();
-      const double span =
-          std::clamp(now_ - start_, settings_.fall_s, std::max(kRateWindow, settings_.fall_s));
-      best = std::max(best, static_cast<double>(server.answered.size()) / span);
+    double sum = 0;
+    double count = 0;
+    for (const auto& [id, server] : servers_) {
+      if (server.entry.kind != kind || now_ < server.cold_until || !server.listed || server.suspect) continue;
+      sum += server.rate.now(now_);
+      count += 1;
     }
     double& seen = warm_rate_[kind];
-    seen = std::max(seen, best);
+    // Before a whole window has passed the average is low, which is safe.
+    if (count > 0) seen = sum / count;
     return seen;
   }
 
@@ -368,7 +405,8 @@
     call.sent = now_;
     server.unanswered.emplace(now_, call.id);
     server.sends.push_back(now_);
-    while (server.sends.front() <= now_ - std::max(settings_.fall_s, kAnswerWindow)) server.sends.pop_front();
+    while (server.sends.front() <= now_ - kAnswerWindow) server.sends.pop_front();
+    if (now_ < server.cold_until || server.suspect) next_turn(server);
     emit(SendSetup{call.id, server.entry.id, call.end - now_});
   }
 
@@ -423,7 +461,8 @@
 
   void count_answer(Server& server) {
     server.answered.push_back(now_);
-    while (server.answered.front() <= now_ - std::max(kRateWindow, settings_.fall_s))
+    server.rate.count(now_);
+    while (server.answered.front() <= now_ - std::max(kAnswerWindow, settings_.fall_s))
       server.answered.pop_front();
     server.strikes = 0;
   }
