--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -65,9 +65,10 @@
 
 // Cold servers: share of the allowed load that all senders together aim at. The rest is for chance, for
 // repeats that are not seen here, and for turns that many senders kept and use at the same moment.
-constexpr double kColdMargin = 0.5;
+constexpr double kColdMargin = 0.7;
+constexpr double kTurnMargin = 0.7;   // of that; turns kept by many senders may be used together
 constexpr double kRateWindow = 10.0;  // s over which a sender's rate of set-ups is averaged
-constexpr double kProof = 4;          // answers within a fall window that prove a rate; fewer may be chance
+constexpr double kChance = 1.5;       // standard deviations of a count that are taken for chance
 
 // Traffic to a server grows as it answers: within the window, this many set-ups and a little more than were
 // answered.
@@ -310,20 +311,26 @@
   }
 
   // The fourth rule. All senders together must stay under factor x present capacity within each fall window.
-  // Each takes its own part of it. With hundreds of senders a part is far less than one set-up a window, so
+  // Each takes its own part: of the start capacity of what warm servers of the kind take, by its own calls, or
+  // of what the cold one answered it in the last window. Both are averages, so summed over all senders neither
+  // is more than the server can do. With hundreds of senders a part is far less than one set-up a window, and
   // it is saved up: a turn comes at random, on average as often as the part says, and lapses when not used
   // within the fall window; else turns kept by all would be used at once in the next surge. Suspects may be
   // back cold before the list tells, so their trials keep to it as well. It does harm where a cold server
   // could take far more than the told start: its first calls go elsewhere.
   bool within_cold_budget(Server& server) {
     if (now_ >= server.cold_until && !server.suspect) return true;
-    const double part = cold_part(server);
-    if (server.turn_at == -kNever || server.turn_saved > server.turn + part * settings_.fall_s) {
-      next_turn(server);
+    const double share = kColdMargin * settings_.overload_factor;
+    const double part = share * settings_.start_capacity * warm_rate(server.entry.kind);  // a second
+    if (part * settings_.fall_s >= 1) {
+      const double proved = within(server.answered, settings_.fall_s);
+      return within(server.sends, settings_.fall_s) < std::max(part * settings_.fall_s, share * proved);
     }
-    server.turn_saved += part * (now_ - server.turn_at);
+    const double lapse = kTurnMargin * part * settings_.fall_s;
+    if (server.turn_at == -kNever || server.turn_saved > server.turn + lapse) next_turn(server);
+    server.turn_saved += kTurnMargin * part * (now_ - server.turn_at);
     server.turn_at = now_;
-    return server.turn_saved >= server.turn && server.turn_saved <= server.turn + part * settings_.fall_s;
+    return server.turn_saved >= server.turn && server.turn_saved <= server.turn + lapse;
   }
 
   void next_turn(Server& server) {
@@ -332,16 +339,6 @@
     server.turn_at = now_;
   }
 
-  // Set-ups a second that this sender may send a cold server: of the start capacity of what warm servers of
-  // the kind take, by its own calls, or of what the cold one answered it in the last window. Both are
-  // unbiased, so summed over all senders neither is more than the server can do.
-  double cold_part(const Server& server) {
-    const double proved = within(server.answered, settings_.fall_s);
-    return kColdMargin * settings_.overload_factor *
-           std::max(settings_.start_capacity * warm_rate(server.entry.kind),
-                    proved >= kProof ? proved / settings_.fall_s : 0);
-  }
-
   // Traffic to a server grows only as fast as it answers. A sender that has had little to do with a server
   // can't know what it takes, and many senders that turn to it at once would each find it unmarked. This
   // covers servers that swallow set-ups, idle slow ones in a surge, those back after cuts, and all of them
@@ -357,18 +354,22 @@
     return static_cast<double>(times.end() - since);
   }
 
-  // Set-ups a second that this sender saw the warm servers of a kind take, on average over all of them.
+  // Set-ups a second that this sender saw warm servers of a kind take: on average over all of them, or the
+  // busiest, less what chance may have added there. The largest seen stays: a server does not take less for
+  // having been closed. Before a whole window has passed the averages are low, which is safe.
   double warm_rate(std::uint32_t kind) {
     double sum = 0;
     double count = 0;
+    double busiest = 0;
     for (const auto& [id, server] : servers_) {
       if (server.entry.kind != kind || now_ < server.cold_until || !server.listed || server.suspect) continue;
-      sum += server.rate.now(now_);
+      const double rate = server.rate.now(now_);
+      sum += rate;
       count += 1;
+      busiest = std::max(busiest, rate - kChance * std::sqrt(rate / kRateWindow));
     }
     double& seen = warm_rate_[kind];
-    // Before a whole window has passed the average is low, which is safe.
-    if (count > 0) seen = sum / count;
+    if (count > 0) seen = std::max({seen, sum / count, busiest});
     return seen;
   }
 
@@ -405,7 +406,7 @@
     call.sent = now_;
     server.unanswered.emplace(now_, call.id);
     server.sends.push_back(now_);
-    while (server.sends.front() <= now_ - kAnswerWindow) server.sends.pop_front();
+    while (server.sends.front() <= now_ - std::max(settings_.fall_s, kAnswerWindow)) server.sends.pop_front();
     if (now_ < server.cold_until || server.suspect) next_turn(server);
     emit(SendSetup{call.id, server.entry.id, call.end - now_});
   }
