Round: a cold server's part is rounded at random in each sender's own window, from plain averages

Now plain averages, whole parts rounded at random, a window's phase each sender's own, and under one set-up a window no more than the start capacity.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -64,11 +64,9 @@
 constexpr std::size_t kCutsToSuspect = 2;
 
 // Cold servers: share of the allowed load that all senders together aim at. The rest is for chance, for
-// repeats that are not seen here, and for turns that many senders kept and use at the same moment.
+// repeats that are not seen here, and for parts of two windows that many senders use in one surge.
 constexpr double kColdMargin = 0.7;
-constexpr double kTurnMargin = 0.7;   // of that; turns kept by many senders may be used together
 constexpr double kRateWindow = 10.0;  // s over which a sender's rate of set-ups is averaged
-constexpr double kChance = 1.5;       // standard deviations of a count that are taken for chance
 
 // Traffic to a server grows as it answers: within the window, this many set-ups and a little more than were
 // answered.
@@ -162,10 +160,8 @@
   std::deque<Time> sends;     // attempts, lately
   std::deque<Time> answered;  // set-ups that stood or met a busy number, lately
   Average rate;               // of the same, a second
-
-  double turn = 0;        // a cold server: this sender's next turn comes when this much of its part
-  double turn_saved = 0;  // has been saved up to
-  Time turn_at = -kNever;
+  double rounded = 0;  // while cold: added to this sender's part, then rounded down, in the present fall window
+  Time window_end = -kNever;
 };
 
 struct Number {
@@ -313,30 +309,25 @@
   // The fourth rule. All senders together must stay under factor x present capacity within each fall window.
   // Each takes its own part: of the start capacity of what warm servers of the kind take, by its own calls, or
   // of what the cold one answered it in the last window. Both are averages, so summed over all senders neither
-  // is more than the server can do. With hundreds of senders a part is far less than one set-up a window, and
-  // it is saved up: a turn comes at random, on average as often as the part says, and lapses when not used
-  // within the fall window; else turns kept by all would be used at once in the next surge. Suspects may be
+  // is more than the server can do. With hundreds of senders a part is far less than one set-up
+  // a window: it is rounded up or down at random, anew in each window, whose phase is each sender's own. What
+  // was not used lapses; else parts kept by all would be used at once in the next surge. Suspects may be
   // back cold before the list tells, so their trials keep to it as well. It does harm where a cold server
   // could take far more than the told start: its first calls go elsewhere.
   bool within_cold_budget(Server& server) {
     if (now_ >= server.cold_until && !server.suspect) return true;
     const double share = kColdMargin * settings_.overload_factor;
-    const double part = share * settings_.start_capacity * warm_rate(server.entry.kind);  // a second
-    if (part * settings_.fall_s >= 1) {
-      const double proved = within(server.answered, settings_.fall_s);
-      return within(server.sends, settings_.fall_s) < std::max(part * settings_.fall_s, share * proved);
+    double part = settings_.start_capacity * warm_rate(server.entry.kind) * settings_.fall_s;
+    if (part * share >= 1) part = share * std::max(part, within(server.answered, settings_.fall_s));
+    if (now_ >= server.window_end + settings_.fall_s) {  // begins, or begins again after a pause
+      server.window_end = now_ + settings_.fall_s * uniform();
+      server.rounded = -1;
     }
-    const double lapse = kTurnMargin * part * settings_.fall_s;
-    if (server.turn_at == -kNever || server.turn_saved > server.turn + lapse) next_turn(server);
-    server.turn_saved += kTurnMargin * part * (now_ - server.turn_at);
-    server.turn_at = now_;
-    return server.turn_saved >= server.turn && server.turn_saved <= server.turn + lapse;
-  }
-
-  void next_turn(Server& server) {
-    server.turn = -std::log1p(-uniform());
-    server.turn_saved = 0;
-    server.turn_at = now_;
+    if (now_ >= server.window_end) {
+      server.window_end += settings_.fall_s;
+      server.rounded = uniform();
+    }
+    return within(server.sends, settings_.fall_s) + 1 <= part + server.rounded;
   }
 
   // Traffic to a server grows only as fast as it answers. A sender that has had little to do with a server
@@ -354,22 +345,19 @@
     return static_cast<double>(times.end() - since);
   }
 
-  // Set-ups a second that this sender saw warm servers of a kind take: on average over all of them, or the
-  // busiest, less what chance may have added there. The largest seen stays: a server does not take less for
-  // having been closed. Before a whole window has passed the averages are low, which is safe.
+  // Set-ups a second that this sender saw warm servers of a kind take, on average over all of them: the busiest
+  // one's figure, or the largest ever seen, would be chance where calls are few. Before a whole window has
+  // passed the average is low, which is safe.
   double warm_rate(std::uint32_t kind) {
     double sum = 0;
     double count = 0;
-    double busiest = 0;
     for (const auto& [id, server] : servers_) {
       if (server.entry.kind != kind || now_ < server.cold_until || !server.listed || server.suspect) continue;
-      const double rate = server.rate.now(now_);
-      sum += rate;
+      sum += server.rate.now(now_);
       count += 1;
-      busiest = std::max(busiest, rate - kChance * std::sqrt(rate / kRateWindow));
     }
     double& seen = warm_rate_[kind];
-    if (count > 0) seen = std::max({seen, sum / count, busiest});
+    if (count > 0) seen = sum / count;
     return seen;
   }
 
@@ -407,7 +395,6 @@
     server.unanswered.emplace(now_, call.id);
     server.sends.push_back(now_);
     while (server.sends.front() <= now_ - std::max(settings_.fall_s, kAnswerWindow)) server.sends.pop_front();
-    if (now_ < server.cold_until || server.suspect) next_turn(server);
     emit(SendSetup{call.id, server.entry.id, call.end - now_});
   }
 
