--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -42,6 +42,14 @@
 constexpr double kRoomFloor = 1.2;         // times the shortest set-up of late
 constexpr double kShortestReturn = 0.005;  // share by which the shortest set-up follows a longer one
 
+// Where a sender has little to do with each server, what it knows is old: evidence of a wait stands for a while
+// before it fades, and room is closed by odds: each try draws how much of a wait it puts up with. All senders
+// see a wait at about the same time; closed for all at one limit, a queue swings from empty to full.
+constexpr double kDense = 0.45;      // s between calls for each server; below, neither acts
+constexpr double kSparse = 0.85;     // s; from here on both act in full
+constexpr double kStands = 2.5;      // s that evidence stands: about as long as an answer is then awaited
+constexpr double kOddsWidest = 0.6;  // share of the limit to either side
+
 // How old evidence of a wait fades, in seconds of wait for each second that passes.
 constexpr double kWaitDrain = 0.5;  // others go on sending, so a queue drains slower than time passes
 constexpr double kWaitGain = 0.5;   // share of a new delay in a server's wait
@@ -106,6 +114,7 @@
   std::uint64_t key = 0;
   double lines = 1;
   std::int64_t first_choice = -1;
+  double patience = 0;      // drawn for each try, 0 to 1
   double worth = 1;         // what serving it is worth now, over the best worth of the site
   Time aim_end = 0;         // stands by then: full worth
   Time end = 0;             // the final answer is due before
@@ -176,7 +185,10 @@
 class Controller::Impl {
  public:
   Impl(const Settings& settings, std::uint64_t seed) : settings_(settings), random_(seed) {
-    for (const Settings::Class& c : settings_.classes) best_worth_ = std::max(best_worth_, c.value);
+    for (const Settings::Class& c : settings_.classes) {
+      best_worth_ = std::max(best_worth_, c.value);
+      longest_aim_ = std::max(longest_aim_, c.aim_s);
+    }
   }
 
   void handle(Time now, const Event& event, std::vector<Action>& actions) {
@@ -195,6 +207,7 @@
 
   void on(const NewCall& e) {
     if (calls_.count(e.call) != 0) return;
+    taken_.count(now_);
     Call& call = calls_[e.call];
     call.id = e.call;
     call.call_class = e.call_class;
@@ -220,7 +233,8 @@
   }
 
   // The first choice while it has room, else a weighted draw over the other allowed servers with room.
-  Server* route(const Call& call) {
+  Server* route(Call& call) {
+    call.patience = uniform();
     for (auto& [id, server] : servers_) {
       if (first_choice(call, server) && allowed(call, server) && has_room(call, server)) return &server;
     }
@@ -229,6 +243,7 @@
 
   // A held call's try falls due: one draw over all allowed servers; no room there refuses the call.
   void try_held(Call& call) {
+    call.patience = uniform();
     Server* server = draw(call, false);
     if (server != nullptr && has_room(call, *server)) {
       send(call, *server);
@@ -290,17 +305,28 @@
   // What a set-up sent now would wait, by all that is known here: how long own set-ups are out already, how
   // long the last ones took, and what the server reported. Old evidence fades.
   double expected_wait(const Server& server) const {
-    double wait = std::max(0.0, server.wait - kWaitDrain * (now_ - server.wait_at));
-    wait = std::max(wait, server.told_wait - kWaitDrain * (now_ - server.told_at));
+    double wait = std::max(faded(server.wait, server.wait_at), faded(server.told_wait, server.told_at));
     // One overtaken by a later answer is lost, not waiting: processors take set-ups in turn.
     const auto oldest = server.unanswered.lower_bound({server.answered_sent, 0});
     if (oldest != server.unanswered.end()) wait = std::max(wait, now_ - oldest->first);
     return wait;
   }
 
+  double faded(double wait, Time since) const {
+    return std::max(0.0, wait - kWaitDrain * std::max(0.0, now_ - since - kStands * sparseness()));
+  }
+
+  // From 0 to 1: how seldom this sender has a call for each server.
+  double sparseness() const {
+    const double rate = taken_.now(now_) / -std::expm1(-std::max(1e-3, now_ - start_) / kRateWindow);
+    const double gap = static_cast<double>(servers_.size()) / std::max(rate, 1e-3);
+    return std::clamp((gap - kDense) / (kSparse - kDense), 0.0, 1.0);
+  }
+
   double room_limit(const Call& call) const {
     double limit = kRoomAim * class_of(call).aim_s;
     if (settings_.repeat_after_s > 0) limit = std::min(limit, kRoomRepeat * settings_.repeat_after_s);
+    limit *= 1 + kOddsWidest * sparseness() * (2 * call.patience - 1);
     limit = std::max(limit * call.worth, std::min(limit, kRoomFloor * shortest_));
     const Time end = now_ < call.aim_end ? std::min(call.aim_end, call.end) : call.end;
     return std::min(limit, end - now_);
@@ -437,7 +463,7 @@
     shortest_ =
         shortest_ == 0 || delay < shortest_ ? delay : shortest_ + kShortestReturn * (delay - shortest_);
     spacing_ = spacing_ < 0 ? delay : spacing_ + kSpacingGain * (delay - spacing_);
-    const double before = std::max(0.0, server.wait - kWaitDrain * (now_ - server.wait_at));
+    const double before = faded(server.wait, server.wait_at);
     server.wait = before + kWaitGain * (delay - before);
     server.wait_at = now_;
     server.slow_delay +=
@@ -558,6 +584,8 @@
           const double told = usable(e.told_wait_s) ? e.told_wait_s : 0;
           const double mark = told > 0 ? told : std::max(spacing_, kMarkLeast);
           server.marked_until = std::max(server.marked_until, now_ + mark);
+          server.wait = std::max(faded(server.wait, server.wait_at), sparseness() * longest_aim_);
+          server.wait_at = now_;
           server.slow_delay = std::max(server.slow_delay, now_ - sent);
         }
         server.strikes = 0;
@@ -739,6 +767,8 @@
   std::map<ServerId, Server> servers_;
   std::map<std::uint32_t, double> warm_rate_;  // by kind
   std::map<std::uint64_t, Number> busy_;       // numbers called that answered busy, by key
+  double longest_aim_ = 0;
+  Average taken_;                              // calls
   double spacing_ = -1;                        // x; below 0: nothing stood yet
   double shortest_ = 0;                        // s; the shortest set-up delay of late, anywhere
   std::uint32_t held_ = 0;
