--- a/include/mintrock/controller.hpp
+++ b/include/mintrock/controller.hpp
@@ -43,6 +43,9 @@
   bool can_cancel = false;          // CancelAttempt is allowed
   bool gives_retry_after = false;   // callers are given retry_after_s
   bool asks_for_list = false;       // the server list comes only after Subscribe
+  std::uint32_t fleet_size = 1;     // proxies before these servers
+  std::uint32_t own_number = 0;     // this one's number among them, from 0
+  bool tells_peers = false;         // TellPeer is allowed
 };
 
 // A server's load report. Any subset may be present, noisy and some time old.
@@ -51,6 +54,13 @@
   std::optional<double> wait_s;  // wait at its processor
 };
 
+// What one proxy tells another of a server: the wait that somebody saw there, and how long ago.
+struct Hearsay {
+  ServerId server = 0;
+  double wait_s = 0;
+  double age_s = 0;
+};
+
 struct ServerEntry {
   enum class State { kReady, kDraining, kGone };
   ServerId id = 0;
@@ -119,8 +129,12 @@
   Report report;
 };
 
+struct PeerNews {  // what a TellPeer of another proxy brought; may be lost, late or wrong
+  std::vector<Hearsay> hearsay;
+};
+
 using Event = std::variant<Started, ServerList, NewCall, SetupStood, AttemptEnded, CallAbandoned, TimerFired,
-                           LoadNotice>;
+                           LoadNotice, PeerNews>;
 
 // ---- Actions ----
 
@@ -151,11 +165,16 @@
 
 struct Subscribe {};  // ask for the server list and its changes
 
+struct TellPeer {  // a message to another proxy, not sure to arrive
+  std::uint32_t peer = 0;  // its number
+  std::vector<Hearsay> hearsay;
+};
+
 struct Log {
   std::string text;
 };
 
-using Action = std::variant<SendSetup, RefuseCall, FailCall, CancelAttempt, SetTimer, Subscribe, Log>;
+using Action = std::variant<SendSetup, RefuseCall, FailCall, CancelAttempt, SetTimer, Subscribe, TellPeer, Log>;
 
 class Controller {
  public:
--- a/src/drill.cpp
+++ b/src/drill.cpp
@@ -83,7 +83,7 @@
   void take(const wire::ProbeDone& r) {
     pass(mintrock::LoadNotice{r.server, wire::make_report(instance().fields, r.telemetry)});
   }
-  void take(const wire::Mail&) { instance(); }
+  void take(const wire::Mail& r) { pass(r.news); }
   void take(const mintrock::NewCall& r) { pass(r); }
   void take(const mintrock::SetupStood& r) { pass(r); }
   void take(const mintrock::CallAbandoned& r) { pass(r); }
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -94,8 +94,14 @@
 constexpr double kReleaseMargin = 0.005;  // s on top of the release wait, for the rounding of clocks
 constexpr double kLeastTry = 0.05;        // s; with less left a set-up is not worth sending
 
+// Messages to peers: each tells what it knows of every server to a few others, now and then. Evidence of hundreds
+// of senders reaches all within a second or two, at a small price.
+constexpr double kTellEvery = 1.0;  // s
+constexpr int kTellPeers = 2;
+
 constexpr double kListRetry = 1.0;  // s until a failed list subscription is asked for again
-constexpr std::uint64_t kListTimer = 0;
+constexpr std::uint64_t kListTimer = 0;  // no call's timer has this token, nor the next
+constexpr std::uint64_t kTellTimer = ~std::uint64_t{0};
 
 constexpr Time kNever = std::numeric_limits<double>::infinity();
 
@@ -154,6 +160,8 @@
   double slow_delay = 0;                         // s; weights of the draw
   double told_wait = 0;                          // s; by report
   Time told_at = -kNever;
+  double heard_wait = 0;  // s; by peers
+  Time heard_at = -kNever;
   std::optional<double> spare;  // free lines
   Time spare_at = -kNever;
 
@@ -203,6 +211,7 @@
 
   void on(const Started&) {
     if (settings_.asks_for_list) emit(Subscribe{});
+    if (settings_.tells_peers && settings_.fleet_size > 1) emit(SetTimer{kTellTimer, kTellEvery * uniform()});
   }
 
   void on(const NewCall& e) {
@@ -306,6 +315,7 @@
   // long the last ones took, and what the server reported. Old evidence fades.
   double expected_wait(const Server& server) const {
     double wait = std::max(faded(server.wait, server.wait_at), faded(server.told_wait, server.told_at));
+    if (server.heard_at > std::max(server.wait_at, server.told_at)) wait = faded(server.heard_wait, server.heard_at);
     // One overtaken by a later answer is lost, not waiting: processors take set-ups in turn.
     const auto oldest = server.unanswered.lower_bound({server.answered_sent, 0});
     if (oldest != server.unanswered.end()) wait = std::max(wait, now_ - oldest->first);
@@ -643,6 +653,7 @@
 
   void on(const TimerFired& e) {
     if (e.token == kListTimer) return emit(Subscribe{});
+    if (e.token == kTellTimer) return tell_peers();
     const auto found = calls_.find(static_cast<CallId>(e.token >> 32));
     if (found == calls_.end() || found->second.generation != static_cast<std::uint32_t>(e.token)) return;
     Call& call = found->second;
@@ -719,6 +730,35 @@
     }
   }
 
+  // ---- Peers: what is heard only adds evidence of waits; no rule rests on it ----
+
+  void tell_peers() {
+    emit(SetTimer{kTellTimer, kTellEvery * (0.5 + uniform())});
+    std::vector<Hearsay> hearsay;
+    for (const auto& [id, server] : servers_) {
+      const Time at = std::max({server.wait_at, server.told_at, server.heard_at});
+      if (!server.listed || at == -kNever) continue;
+      const double wait = at == server.heard_at ? server.heard_wait : at == server.told_at ? server.told_wait : server.wait;
+      hearsay.push_back({id, wait, now_ - at});
+    }
+    if (hearsay.empty()) return;
+    for (int i = 0; i < kTellPeers; ++i) {
+      auto peer = static_cast<std::uint32_t>(uniform() * (settings_.fleet_size - 1));
+      if (peer >= settings_.own_number) peer += 1;
+      emit(TellPeer{peer, hearsay});
+    }
+  }
+
+  void on(const PeerNews& e) {
+    for (const Hearsay& h : e.hearsay) {
+      Server* server = find(h.server);
+      if (server == nullptr || !usable(h.wait_s) || !usable(h.age_s)) continue;
+      if (now_ - h.age_s <= server->heard_at) continue;
+      server->heard_at = now_ - h.age_s;
+      server->heard_wait = h.wait_s;
+    }
+  }
+
   // ---- Small things ----
 
   void emit(Action action) { actions_->push_back(std::move(action)); }
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t kEntrySize = 25;
 constexpr std::size_t kMaxItems = 100000;  // of a list in the settings; more is taken for nonsense
 constexpr std::size_t kMaxNote = 65535;    // bytes of a log line
+constexpr std::uint8_t kHearsayVersion = 1;
+constexpr std::size_t kHearsaySize = 10;  // bytes of an entry
+constexpr std::size_t kMostHearsay = 25;  // entries that a message of 256 bytes holds
 
 constexpr std::uint16_t kRedialled = 2;
 constexpr std::uint16_t kWasCut = 16;
@@ -53,6 +56,11 @@
   return address << 16 | in.u16();
 }
 
+void write_server(Writer& out, ServerId server) {
+  out.u32(static_cast<std::uint32_t>(server >> 16));
+  out.u16(static_cast<std::uint16_t>(server & 0xFFFF));
+}
+
 std::vector<float> read_telemetry(Reader& in) {
   std::vector<float> values(in.u8());
   for (float& value : values) value = in.f32();
@@ -231,9 +239,8 @@
       return record;
     }
     case 9:
-      in.u16();
-      in.bytes(in.u16());
-      return Mail{};
+      in.u16();  // the sender's number: who tells it is of no matter
+      return Mail{{unpack_hearsay(in.bytes(in.u16()))}};
     case 10:
       return Halt{};
     case 11:
@@ -392,6 +399,39 @@
   u64(raw);
 }
 
+std::string pack_hearsay(const std::vector<Hearsay>& hearsay) {
+  const auto milliseconds = [](double seconds) {
+    return static_cast<std::uint16_t>(std::clamp(std::isfinite(seconds) ? seconds * 1000 : 65535, 0.0, 65535.0));
+  };
+  Writer out;
+  const std::size_t count = std::min(hearsay.size(), kMostHearsay);
+  out.u8(kHearsayVersion);
+  out.u8(static_cast<std::uint8_t>(count));
+  for (std::size_t i = 0; i < count; ++i) {
+    write_server(out, hearsay[i].server);
+    out.u16(milliseconds(hearsay[i].wait_s));
+    out.u16(milliseconds(hearsay[i].age_s));
+  }
+  return out.str();
+}
+
+std::vector<Hearsay> unpack_hearsay(std::string_view bytes) {
+  std::vector<Hearsay> hearsay;
+  if (bytes.size() < 2) return hearsay;
+  Reader in(bytes);
+  const bool known = in.u8() == kHearsayVersion;
+  const std::size_t count = in.u8();
+  if (!known || count > kMostHearsay || in.left() != count * kHearsaySize) return hearsay;
+  while (!in.done()) {
+    Hearsay entry;
+    entry.server = read_server(in);
+    entry.wait_s = in.u16() / 1000.0;
+    entry.age_s = in.u16() / 1000.0;
+    hearsay.push_back(entry);
+  }
+  return hearsay;
+}
+
 Header parse_header(std::string_view data) {
   Reader in(data);
   Header header;
@@ -413,6 +453,9 @@
   pairs.read("rules.warm_up_s", s.warm_up_s);
   pairs.read("rules.overload_factor", s.overload_factor);
   pairs.read("rules.fall_s", s.fall_s);
+  pairs.read("fleet_size", s.fleet_size);
+  pairs.read("me", s.own_number);
+  pairs.read("limits.peers", s.tells_peers);
   pairs.read("limits.try_limit", s.attempt_limit);
   pairs.read("limits.max_retry_after_s", s.max_retry_after_s);
   pairs.read("limits.cancelling", s.can_cancel);
@@ -471,8 +514,7 @@
                           body_.u8(1);
                           body_.u32(a.call);
                           body_.f64(a.give_up_after_s);
-                          body_.u32(static_cast<std::uint32_t>(a.server >> 16));
-                          body_.u16(static_cast<std::uint16_t>(a.server & 0xFFFF));
+                          write_server(body_, a.server);
                         },
                         [&](const RefuseCall& a) {
                           body_.u8(2);
@@ -497,6 +539,13 @@
                           body_.u8(11);
                           body_.u8(1);
                         },
+                        [&](const TellPeer& a) {
+                          const std::string bytes = pack_hearsay(a.hearsay);
+                          body_.u8(8);
+                          body_.u32(a.peer);
+                          body_.u16(static_cast<std::uint16_t>(bytes.size()));
+                          body_.bytes(bytes);
+                        },
                         [&](const Log& a) {
                           const std::string_view text = std::string_view(a.text).substr(0, kMaxNote);
                           body_.u8(9);
