--- a/include/mintrock/controller.hpp
+++ b/include/mintrock/controller.hpp
@@ -51,6 +51,7 @@
 // A server's load report. Any subset may be present, noisy and some time old.
 struct Report {
   std::optional<double> spare;   // free lines toward the server, exact
+  std::optional<double> total;   // all of its lines, exact
   std::optional<double> wait_s;  // wait at its processor
 };
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -61,6 +61,8 @@
 constexpr double kWeightReturn = 0.1;
 constexpr double kWeightFloor = 0.05;  // s added to each delay, so that no server takes all
 
+constexpr double kSizeFloor = 0.02;    // share of its lines counted as free ones to come
+
 // Suspicion: a server that loses set-ups is left alone, then tried by one single set-up, at doubling gaps.
 constexpr int kStrikesToSuspect = 2;     // unanswered set-ups in a row; one may be chance
 constexpr double kOvertaken = 0.3;       // s; one overtaken by a set-up sent so much later is lost
@@ -163,6 +165,7 @@
   double heard_wait = 0;  // s; by peers
   Time heard_at = -kNever;
   std::optional<double> spare;  // free lines
+  double total = 0;             // all lines; 0: not told
   Time spare_at = -kNever;
 
   int strikes = 0;  // set-ups lost in a row
@@ -268,8 +271,8 @@
       if (!allowed(call, server) || server.suspect) continue;
       if (with_room && !has_room(call, server)) continue;
       const double delay = server.slow_delay + kWeightFloor;
-      const double weight =
-          (usable(server.entry.weight) ? server.entry.weight : 1) * (1 - server.faults) / (delay * delay);
+      const double listed = usable(server.entry.weight) ? server.entry.weight : 1;
+      const double weight = listed * size(server) * (1 - server.faults) / (delay * delay);
       total += weight;
       drawn.emplace_back(&server, weight);
     }
@@ -282,6 +285,11 @@
     return drawn.back().first;
   }
 
+  // Servers differ in what they still take, and the list may not say: the free lines tell, where they are known.
+  double size(const Server& server) const {
+    return server.spare ? *server.spare + kSizeFloor * server.total : 1;
+  }
+
   // Suspects are tried only where no other server would have been drawn.
   Server* draw_suspect(const Call& call) {
     for (auto& [id, server] : servers_) {
@@ -353,7 +361,7 @@
   bool within_cold_budget(Server& server) {
     if (now_ >= server.cold_until && !server.suspect) return true;
     const double share = kColdMargin * settings_.overload_factor;
-    double part = settings_.start_capacity * warm_rate(server.entry.kind) * settings_.fall_s;
+    double part = settings_.start_capacity * warm_rate(server) * settings_.fall_s;
     if (part * share >= 1) part = share * std::max(part, within(server.answered, settings_.fall_s));
     if (now_ >= server.window_end + settings_.fall_s) {  // begins, or begins again after a pause
       server.window_end = now_ + settings_.fall_s * uniform();
@@ -381,20 +389,24 @@
     return static_cast<double>(times.end() - since);
   }
 
-  // Set-ups a second that this sender saw warm servers of a kind take, on average over all of them: the busiest
+  // Set-ups a second that this sender saw a warm server take, by what all of the kind took for each of their
+  // lines, or, where lines are not told, for each server. An average over all: the busiest
   // one's figure, or the largest ever seen, would be chance where calls are few. Before a whole window has
   // passed the average is low, which is safe.
-  double warm_rate(std::uint32_t kind) {
+  double warm_rate(const Server& cold) {
     double sum = 0;
+    double lines = 0;
     double count = 0;
     for (const auto& [id, server] : servers_) {
-      if (server.entry.kind != kind || now_ < server.cold_until || !server.listed || server.suspect) continue;
+      if (server.entry.kind != cold.entry.kind || now_ < server.cold_until) continue;
+      if (!server.listed || server.suspect || (server.total > 0) != (cold.total > 0)) continue;
       sum += server.rate.now(now_);
+      lines += server.total;
       count += 1;
     }
-    double& seen = warm_rate_[kind];
-    if (count > 0) seen = sum / count;
-    return seen;
+    double& seen = cold.total > 0 ? line_rate_[cold.entry.kind] : warm_rate_[cold.entry.kind];
+    if (count > 0) seen = sum / (cold.total > 0 ? lines : count);
+    return cold.total > 0 ? seen * cold.total : seen;
   }
 
   // ---- Holding: DSRT ----
@@ -728,6 +740,7 @@
       server.told_wait = *report.wait_s;
       server.told_at = now_;
     }
+    if (report.total && usable(*report.total)) server.total = *report.total;
   }
 
   // ---- Peers: what is heard only adds evidence of waits; no rule rests on it ----
@@ -805,7 +818,8 @@
   std::vector<Action>* actions_ = nullptr;
   std::map<CallId, Call> calls_;
   std::map<ServerId, Server> servers_;
-  std::map<std::uint32_t, double> warm_rate_;  // by kind
+  std::map<std::uint32_t, double> warm_rate_;  // by kind, a server
+  std::map<std::uint32_t, double> line_rate_;  // by kind, a line
   std::map<std::uint64_t, Number> busy_;       // numbers called that answered busy, by key
   double longest_aim_ = 0;
   Average taken_;                              // calls
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -463,6 +463,7 @@
   if (const std::string* mode = pairs.find("registry_mode")) s.asks_for_list = *mode == "ask";
   if (const std::string* fields = pairs.find("load_info.fields")) {
     static const std::pair<const char*, Field> kNames[] = {{"spare", Field::kSpare},
+                                                           {"total", Field::kTotal},
                                                            {"mean_ms", Field::kWaitMs}};
     for (const std::string& name : Pairs::split(*fields)) {
       Field field = Field::kUnknown;
@@ -486,6 +487,9 @@
       case Field::kWaitMs:
         report.wait_s = value / 1000.0;
         break;
+      case Field::kTotal:
+        report.total = value;
+        break;
       case Field::kUnknown:
         break;
     }
