--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -54,6 +54,9 @@
 constexpr double kWaitDrain = 0.5;  // others go on sending, so a queue drains slower than time passes
 constexpr double kWaitGain = 0.5;   // share of a new delay in a server's wait
 
+// The last free lines are kept for the calls worth most, by odds: all senders see the same figure for a second.
+constexpr double kLineReserve = 0.05; // share of a server's lines
+
 constexpr double kReportLife = 2.0;  // s until a report of free lines is too old to close a server
 
 // Weights of the draw: fall at once with a longer set-up delay, come back slowly.
@@ -271,8 +274,7 @@
       if (!allowed(call, server) || server.suspect) continue;
       if (with_room && !has_room(call, server)) continue;
       const double delay = server.slow_delay + kWeightFloor;
-      const double listed = usable(server.entry.weight) ? server.entry.weight : 1;
-      const double weight = listed * size(server) * (1 - server.faults) / (delay * delay);
+      const double weight = size(server) * (1 - server.faults) / (delay * delay);
       total += weight;
       drawn.emplace_back(&server, weight);
     }
@@ -287,7 +289,8 @@
 
   // Servers differ in what they still take, and the list may not say: the free lines tell, where they are known.
   double size(const Server& server) const {
-    return server.spare ? *server.spare + kSizeFloor * server.total : 1;
+    if (server.spare) return *server.spare + kSizeFloor * server.total;
+    return usable(server.entry.weight) ? server.entry.weight : 1;
   }
 
   // Suspects are tried only where no other server would have been drawn.
@@ -313,7 +316,10 @@
   bool has_room(const Call& call, Server& server) {
     if (now_ < server.marked_until || now_ < server.no_line_until) return false;
     // Guards against a report of full lines that no later one takes back.
-    if (server.spare && now_ < server.spare_at + kReportLife && *server.spare < call.lines) return false;
+    if (server.spare && now_ < server.spare_at + kReportLife) {
+      const double reserve = kLineReserve * server.total * (1 - call.worth) * (1 - call.patience);
+      if (*server.spare < call.lines + reserve) return false;
+    }
     if (server.suspect && (now_ < server.trial_at || !server.unanswered.empty())) return false;
     if (!within_cold_budget(server) || !within_answers(server)) return false;
     return expected_wait(server) <= room_limit(call);
@@ -331,7 +337,9 @@
   }
 
   double faded(double wait, Time since) const {
-    return std::max(0.0, wait - kWaitDrain * std::max(0.0, now_ - since - kStands * sparseness()));
+    // Beyond the longest aim a wait says no more; a hung processor may tell of minutes.
+    return std::max(0.0, std::min(wait, longest_aim_) -
+                             kWaitDrain * std::max(0.0, now_ - since - kStands * sparseness()));
   }
 
   // From 0 to 1: how seldom this sender has a call for each server.
@@ -747,6 +755,7 @@
 
   void tell_peers() {
     emit(SetTimer{kTellTimer, kTellEvery * (0.5 + uniform())});
+    if (sparseness() == 0) return;  // own evidence is better
     std::vector<Hearsay> hearsay;
     for (const auto& [id, server] : servers_) {
       const Time at = std::max({server.wait_at, server.told_at, server.heard_at});
@@ -763,6 +772,7 @@
   }
 
   void on(const PeerNews& e) {
+    if (sparseness() == 0) return;
     for (const Hearsay& h : e.hearsay) {
       Server* server = find(h.server);
       if (server == nullptr || !usable(h.wait_s) || !usable(h.age_s)) continue;
