--- a/include/mintrock/controller.hpp
+++ b/include/mintrock/controller.hpp
@@ -53,6 +53,7 @@
   std::optional<double> spare;   // free lines toward the server, exact
   std::optional<double> total;   // all of its lines, exact
   std::optional<double> wait_s;  // wait at its processor
+  std::optional<double> queue;   // set-ups waiting at its processor
 };
 
 // What one proxy tells another of a server: the wait that somebody saw there, and how long ago.
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -58,6 +58,11 @@
 // second.
 constexpr double kLineReserve = 0.05;  // share of a server's lines
 
+// A told queue is turned into a wait by what own set-ups lately met; the larger a server, the faster it
+// works.
+constexpr double kQueueLeast = 5;   // set-ups; with fewer, the way there and back is most of the delay
+constexpr double kQueueLife = 1.5;  // s between the report and the answer compared with it
+
 constexpr double kReportLife = 2.0;  // s until a report of free lines is too old to close a server
 
 // Weights of the draw: fall at once with a longer set-up delay, come back slowly.
@@ -94,7 +99,7 @@
 constexpr double kBusyLongest = 4.0;  // s
 
 // A redialled call has lost some of its time for full worth already; how much is not told.
-constexpr double kRedialWorth = 0.5;
+constexpr double kRedialWorth = 0.25;
 
 // An attempt is given up this long before the caller's own end, so that the final answer is in time.
 constexpr double kEndMargin = 0.05;       // s
@@ -167,6 +172,8 @@
   double slow_delay = 0;                         // s; weights of the draw
   double told_wait = 0;                          // s; by report
   Time told_at = -kNever;
+  double told_queue = 0;  // set-ups, by report
+  Time queue_at = -kNever;
   double heard_wait = 0;  // s; by peers
   Time heard_at = -kNever;
   std::optional<double> spare;  // free lines
@@ -501,6 +508,10 @@
     shortest_ =
         shortest_ == 0 || delay < shortest_ ? delay : shortest_ + kShortestReturn * (delay - shortest_);
     spacing_ = spacing_ < 0 ? delay : spacing_ + kSpacingGain * (delay - spacing_);
+    if (server.told_queue >= kQueueLeast && now_ < server.queue_at + kQueueLife) {
+      const double seen = delay * std::max(1.0, server.total) / server.told_queue;
+      queue_wait_ += (queue_wait_ == 0 ? 1 : kSpacingGain) * (seen - queue_wait_);
+    }
     const double before = faded(server.wait, server.wait_at);
     server.wait = before + kWaitGain * (delay - before);
     server.wait_at = now_;
@@ -761,6 +772,14 @@
       server.told_at = now_;
     }
     if (report.total && usable(*report.total)) server.total = *report.total;
+    if (report.queue && usable(*report.queue)) {
+      server.told_queue = *report.queue;
+      server.queue_at = now_;
+      if (!report.wait_s && queue_wait_ > 0 && sparseness() > 0) {  // else own evidence is better
+        server.told_wait = server.told_queue / std::max(1.0, server.total) * queue_wait_;
+        server.told_at = now_;
+      }
+    }
   }
 
   // ---- Peers: what is heard only adds evidence of waits; no rule rests on it ----
@@ -845,6 +864,8 @@
   std::map<std::uint32_t, double> warm_rate_;  // by kind, a server
   std::map<std::uint32_t, double> line_rate_;  // by kind, a line
   std::map<std::uint64_t, Number> busy_;       // numbers called that answered busy, by key
+  double queue_wait_ =
+      0;  // s of wait for each set-up that a server with one line has in its queue; 0: unknown
   double longest_aim_ = 0;
   Average taken_;        // calls
   double spacing_ = -1;  // x; below 0: nothing stood yet
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -463,8 +463,10 @@
   pairs.read("limits.retry_after", s.gives_retry_after);
   if (const std::string* mode = pairs.find("registry_mode")) s.asks_for_list = *mode == "ask";
   if (const std::string* fields = pairs.find("load_info.fields")) {
-    static const std::pair<const char*, Field> kNames[] = {
-        {"spare", Field::kSpare}, {"total", Field::kTotal}, {"mean_ms", Field::kWaitMs}};
+    static const std::pair<const char*, Field> kNames[] = {{"spare", Field::kSpare},
+                                                           {"total", Field::kTotal},
+                                                           {"mean_ms", Field::kWaitMs},
+                                                           {"depth", Field::kQueue}};
     for (const std::string& name : Pairs::split(*fields)) {
       Field field = Field::kUnknown;
       for (const auto& [known, value] : kNames) {
@@ -487,6 +489,9 @@
       case Field::kWaitMs:
         report.wait_s = value / 1000.0;
         break;
+      case Field::kQueue:
+        report.queue = value;
+        break;
       case Field::kTotal:
         report.total = value;
         break;
--- a/src/wire.hpp
+++ b/src/wire.hpp
@@ -66,7 +66,7 @@
 };
 Header parse_header(std::string_view data);
 
-enum class Field { kSpare, kTotal, kWaitMs, kUnknown };
+enum class Field { kSpare, kTotal, kWaitMs, kQueue, kUnknown };
 
 // What an instance's settings say: the library's part, and the order of the values in load reports.
 struct InstanceSettings {
