--- a/include/mintrock/controller.hpp
+++ b/include/mintrock/controller.hpp
@@ -26,8 +26,9 @@
 // What the operators tell a Controller once, at start. Each default is what is assumed when nothing was told.
 struct Settings {
   struct Class {
-    double aim_s = 1.0;  // stands within this time: full worth
-    double value = 1.0;  // worth of a call that stands
+    double aim_s = 1.0;       // stands within this time of the caller's first try: full worth
+    double deadline_s = 1.0;  // how long a caller goes on trying, from the first try
+    double value = 1.0;       // worth of a call that stands
     Effect effect = Effect::kRepeatable;
     std::vector<std::uint32_t> nodes;  // nodes that may take it; empty: all
   };
@@ -45,6 +46,7 @@
   bool asks_for_list = false;       // the server list comes only after Subscribe
   std::uint32_t fleet_size = 1;     // proxies before these servers
   std::uint32_t own_number = 0;     // this one's number among them, from 0
+  bool marks_redials = false;       // NewCall::redialled is told
   bool tells_peers = false;         // TellPeer is allowed
 };
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -134,6 +134,7 @@
   std::int64_t first_choice = -1;
   double patience = 0;      // drawn for each try, 0 to 1
   double worth = 1;         // what serving it is worth now, over the best worth of the site
+  Time first_try = 0;       // of this caller, as far as is known here
   Time aim_end = 0;         // stands by then: full worth
   Time end = 0;             // the final answer is due before
   Time not_before = 0;      // release is awaited until then
@@ -212,6 +213,7 @@
     for (const Settings::Class& c : settings_.classes) {
       best_worth_ = std::max(best_worth_, c.value);
       longest_aim_ = std::max(longest_aim_, c.aim_s);
+      longest_deadline_ = std::max(longest_deadline_, c.deadline_s);
     }
   }
 
@@ -239,7 +241,8 @@
     call.key = e.key;
     call.lines = usable(e.lines) ? e.lines : 1;
     call.first_choice = e.first_choice;
-    call.aim_end = now_ + class_of(call).aim_s;
+    call.first_try = first_try(e);
+    call.aim_end = call.first_try + class_of(call).aim_s;
     call.end = now_ + (usable(e.ttl_s) ? e.ttl_s : 0) - kEndMargin;
     call.worth = worth_of(call, e);
     if (number_busy(call.key)) return refuse(call);
@@ -253,10 +256,28 @@
   // Under pressure room goes by worth, so that what is lost is worth least.
   double worth_of(const Call& call, const NewCall& e) {
     double worth = class_of(call).value / best_worth_;
-    if (e.redialled && !e.was_cut) worth *= kRedialWorth;
+    if ((e.redialled || call.first_try < now_) && !e.was_cut) worth *= kRedialWorth;
     return worth;
   }
 
+  // A caller that was turned away here dials the same number again, marked or not. Its time runs from the
+  // first try; without this, capacity goes to calls that are late already, for good. It does harm where many
+  // callers want one number: they count as one caller's redials.
+  Time first_try(const NewCall& e) {
+    while (!missed_order_.empty() && missed_order_.front().first < now_) {
+      missed_.erase(missed_order_.front().second);
+      missed_order_.pop_front();
+    }
+    const auto found = missed_.find(e.key);
+    const bool again = e.redialled || !settings_.marks_redials;
+    return again && !e.was_cut && found != missed_.end() ? found->second : now_;
+  }
+
+  void note_missed(const Call& call) {
+    if (call.key == 0 || !missed_.emplace(call.key, call.first_try).second) return;
+    missed_order_.emplace_back(call.first_try + longest_deadline_, call.key);
+  }
+
   // The first choice while it has room, else a weighted draw over the other allowed servers with room.
   Server* route(Call& call) {
     call.patience = uniform();
@@ -342,8 +363,10 @@
     double wait = std::max(faded(server.wait, server.wait_at), faded(server.told_wait, server.told_at));
     if (server.heard_at > std::max(server.wait_at, server.told_at))
       wait = faded(server.heard_wait, server.heard_at);
-    // One overtaken by a later answer is lost, not waiting: processors take set-ups in turn.
-    const auto oldest = server.unanswered.lower_bound({server.answered_sent, 0});
+    // One overtaken by a later answer, or by news of the server, is lost, not waiting: processors take
+    // set-ups in turn, and the news tells the wait.
+    const Time known = std::max({server.answered_sent, server.told_at, server.heard_at});
+    const auto oldest = server.unanswered.lower_bound({known, 0});
     if (oldest != server.unanswered.end()) wait = std::max(wait, now_ - oldest->first);
     return wait;
   }
@@ -476,6 +499,7 @@
     if (call == nullptr || call->state != Call::State::kInFlight) return;
     answered(*call);
     busy_.erase(call->key);
+    missed_.erase(call->key);
     Server* server = find(e.server);
     if (server != nullptr && usable(e.spent_s)) {
       server->answered_sent = std::max(server->answered_sent, call->sent);
@@ -547,6 +571,7 @@
     answered(*call);
     if (server != nullptr) judge(*server, e, stood, sent);
     if (e.call_over || stood) {
+      if (!stood) note_missed(*call);
       forget(*call);
       return;
     }
@@ -646,7 +671,8 @@
         server.slow_delay = std::max(server.slow_delay, now_ - sent);
         [[fallthrough]];
       case Outcome::kReset:
-        server.strikes += 1;
+        if (server.told_at <= sent)
+          server.strikes += 1;  // else it has told of itself since: an answer was lost
         if (server.strikes >= kStrikesToSuspect || server.suspect) suspect(server);
         return;
       case Outcome::kNotSent:
@@ -713,6 +739,7 @@
   // ---- Ending: one place ----
 
   void refuse(Call& call) {
+    note_missed(call);
     const bool may_refuse = !call.in_doubt || class_of(call).effect == Effect::kRepeatable;
     if (may_refuse) {
       const double pause = std::max(spacing_, held_ > 0 ? last_due_ - now_ : 0);
@@ -775,7 +802,8 @@
     if (report.queue && usable(*report.queue)) {
       server.told_queue = *report.queue;
       server.queue_at = now_;
-      if (!report.wait_s && queue_wait_ > 0 && sparseness() > 0) {  // else own evidence is better
+      // Where calls are dense, own evidence is better.
+      if (!report.wait_s && sparseness() > 0 && (queue_wait_ > 0 || server.told_queue < kQueueLeast)) {
         server.told_wait = server.told_queue / std::max(1.0, server.total) * queue_wait_;
         server.told_at = now_;
       }
@@ -866,6 +894,9 @@
   std::map<std::uint64_t, Number> busy_;       // numbers called that answered busy, by key
   double queue_wait_ =
       0;  // s of wait for each set-up that a server with one line has in its queue; 0: unknown
+  std::map<std::uint64_t, Time> missed_;  // first tries of callers turned away lately, by number called
+  std::deque<std::pair<Time, std::uint64_t>> missed_order_;  // when each is forgotten
+  double longest_deadline_ = 0;
   double longest_aim_ = 0;
   Average taken_;        // calls
   double spacing_ = -1;  // x; below 0: nothing stood yet
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -325,6 +325,7 @@
 void read_class(const Pairs& pairs, std::size_t index, Settings::Class& out) {
   const std::string base = "classes." + std::to_string(index) + ".";
   pairs.read(base + "goal_time_s", out.aim_s);
+  pairs.read(base + "deadline_s", out.deadline_s);
   pairs.read(base + "value", out.value);
   if (const std::string* effect = pairs.find(base + "effect")) {
     if (*effect == "repeatable") {
@@ -457,6 +458,7 @@
   pairs.read("fleet_size", s.fleet_size);
   pairs.read("me", s.own_number);
   pairs.read("limits.peers", s.tells_peers);
+  pairs.read("callers.marks_retry", s.marks_redials);
   pairs.read("limits.try_limit", s.attempt_limit);
   pairs.read("limits.max_retry_after_s", s.max_retry_after_s);
   pairs.read("limits.cancelling", s.can_cancel);
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -19,7 +19,11 @@
 
 Settings usual() {
   Settings s;
-  s.classes = {{1.2, 1, Effect::kRepeatable, {}}, {1.5, 4, Effect::kRepeatable, {}}};
+  s.classes.resize(2);
+  s.classes[0].aim_s = 1.2;
+  s.classes[1].aim_s = 1.5;
+  s.classes[1].value = 4;
+  for (Settings::Class& c : s.classes) c.deadline_s = 9;
   s.release_wait_s = 0.5;
   s.start_capacity = 0.3;
   s.warm_up_s = 12;
@@ -910,6 +914,68 @@
   EXPECT_EQ(b.sends(b.call(100, 0, 3, 1)), 1) << "worth most";
 }
 
+// Incident icade08: where redials are not marked, capacity went to callers who were late already, for good. A
+// caller turned away here who dials the same number again counts from the first try.
+TEST(Room, ARedialKnownByItsNumberCountsFromTheFirstTry) {
+  for (const bool again : {false, true}) {
+    Bench b;
+    b.servers(1);
+    b.warm(10, 0, 0.05);
+    const auto dial = [&b](CallId id, std::uint64_t key) {
+      NewCall e;
+      e.call = id;
+      e.call_class = 1;
+      e.key = key;
+      e.ttl_s = 3;
+      e.first_choice = 0;
+      return b.pass(e);
+    };
+    Report r;
+    r.spare = 0;
+    b.pass(LoadNotice{10, r});
+    dial(1, 77);
+    b.until(b.now + 2);  // its one try finds no line either, or it was refused at once
+    if (b.refused(b.log) == nullptr) continue;
+    r.spare = 3;  // of the last lines
+    r.total = 1000;
+    int sent = 0;
+    for (CallId id = 2; id <= 8; ++id) {
+      b.pass(LoadNotice{10, r});
+      sent += b.sends(dial(id, again ? 77 : 100 + id));
+      b.pass(CallAbandoned{id});
+      b.until(b.now + 1);
+    }
+    if (again) {
+      EXPECT_LE(sent, 3);
+    } else {
+      EXPECT_EQ(sent, 7);
+    }
+  }
+}
+
+// encuestas later rough-2: a fifth of the answers of half the servers were lost; each one closed its server
+// to its sender for seconds, and two in a row made a suspect. News of the server since then tells that it
+// works.
+TEST(Failures, ALostAnswerIsNoWaitWhereTheServerHasToldOfItselfSince) {
+  for (const bool told : {false, true}) {
+    Bench b;
+    b.servers(2);
+    b.warm(10, 0, 0.05);
+    for (CallId id = 1; id <= 3; ++id) {
+      b.call(id, 0);
+      b.until(b.now + 1);
+      Report r;
+      r.wait_s = 0.02;
+      if (told) b.pass(LoadNotice{10, r});
+      EXPECT_EQ(b.sent_to(b.call(10 + id, 0)), told ? 10u : 11u) << id;
+      b.stood(10 + id, told ? 10 : 11);
+      b.until(b.now + 2);
+      b.ended(id, told ? 10 : b.sent_to(b.log), Outcome::kTimedOut, Cause::kNone, 0, 0, true);
+      if (!told) break;
+    }
+  }
+}
+
 // ---- Any site ----
 
 TEST(Sites, NoServersAtAllStillEndsEveryCall) {
