--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -361,8 +361,8 @@
   // long the last ones took, and what the server reported. Old evidence fades.
   double expected_wait(const Server& server) const {
     double wait = std::max(faded(server.wait, server.wait_at), faded(server.told_wait, server.told_at));
-    if (server.heard_at > std::max(server.wait_at, server.told_at))
-      wait = faded(server.heard_wait, server.heard_at);
+    // Where evidence stands for long, the newest alone counts: a server may have emptied its queue since.
+    if (sparseness() > 0) wait = newest_wait(server).first;
     // One overtaken by a later answer, or by news of the server, is lost, not waiting: processors take
     // set-ups in turn, and the news tells the wait.
     const Time known = std::max({server.answered_sent, server.told_at, server.heard_at});
@@ -371,6 +371,15 @@
     return wait;
   }
 
+  // The latest that is known of a server's wait, as it has faded by now, and when that was.
+  std::pair<double, Time> newest_wait(const Server& server) const {
+    const Time at = std::max({server.wait_at, server.told_at, server.heard_at});
+    const double wait = at == server.told_at   ? server.told_wait
+                        : at == server.wait_at ? server.wait
+                                               : server.heard_wait;
+    return {faded(wait, at), at};
+  }
+
   double faded(double wait, Time since) const {
     // Beyond the longest aim a wait says no more; a hung processor may tell of minutes.
     return std::max(0.0, std::min(wait, longest_aim_) -
@@ -817,12 +826,8 @@
     if (sparseness() == 0) return;  // own evidence is better
     std::vector<Hearsay> hearsay;
     for (const auto& [id, server] : servers_) {
-      const Time at = std::max({server.wait_at, server.told_at, server.heard_at});
-      if (!server.listed || at == -kNever) continue;
-      const double wait = at == server.heard_at  ? server.heard_wait
-                          : at == server.told_at ? server.told_wait
-                                                 : server.wait;
-      hearsay.push_back({id, wait, now_ - at});
+      const auto [wait, at] = newest_wait(server);
+      if (server.listed && at > -kNever) hearsay.push_back({id, wait, now_ - at});
     }
     if (hearsay.empty()) return;
     for (int i = 0; i < kTellPeers; ++i) {
