--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -47,7 +47,7 @@
 // senders see a wait at about the same time; closed for all at one limit, a queue swings from empty to full.
 constexpr double kDense = 0.45;      // s between calls for each server; below, neither acts
 constexpr double kSparse = 0.85;     // s; from here on both act in full
-constexpr double kStands = 2.5;      // s that evidence stands: about as long as an answer is then awaited
+constexpr double kStands = 4.0;      // s that evidence stands: about as long as an answer is then awaited
 constexpr double kOddsWidest = 0.6;  // share of the limit to either side
 
 // How old evidence of a wait fades, in seconds of wait for each second that passes.
@@ -362,7 +362,10 @@
   double expected_wait(const Server& server) const {
     double wait = std::max(faded(server.wait, server.wait_at), faded(server.told_wait, server.told_at));
     // Where evidence stands for long, the newest alone counts: a server may have emptied its queue since.
-    if (sparseness() > 0) wait = newest_wait(server).first;
+    if (sparseness() > 0) {
+      const auto [newest, at] = newest_wait(server);
+      wait = faded(newest, at);
+    }
     // One overtaken by a later answer, or by news of the server, is lost, not waiting: processors take
     // set-ups in turn, and the news tells the wait.
     const Time known = std::max({server.answered_sent, server.told_at, server.heard_at});
@@ -371,13 +374,13 @@
     return wait;
   }
 
-  // The latest that is known of a server's wait, as it has faded by now, and when that was.
+  // The latest that is known of a server's wait, and when that was.
   std::pair<double, Time> newest_wait(const Server& server) const {
     const Time at = std::max({server.wait_at, server.told_at, server.heard_at});
     const double wait = at == server.told_at   ? server.told_wait
                         : at == server.wait_at ? server.wait
                                                : server.heard_wait;
-    return {faded(wait, at), at};
+    return {wait, at};
   }
 
   double faded(double wait, Time since) const {
