--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -42,11 +42,12 @@
 constexpr double kRoomFloor = 1.2;         // times the shortest set-up of late
 constexpr double kShortestReturn = 0.005;  // share by which the shortest set-up follows a longer one
 
-// Where a sender has little to do with each server, what it knows is old: evidence of a wait stands for a
-// while before it fades, and room is closed by odds: each try draws how much of a wait it puts up with. All
-// senders see a wait at about the same time; closed for all at one limit, a queue swings from empty to full.
-constexpr double kDense = 0.45;      // s between calls for each server; below, neither acts
-constexpr double kSparse = 0.85;     // s; from here on both act in full
+// Where a sender is one of many, it sees little of a server's traffic and what it knows is old: evidence of a
+// wait stands for a while before it fades, and room is closed by odds: each try draws how much of a wait it
+// puts up with. All senders see a wait at about the same time; closed for all at one limit, a queue swings
+// from empty to full.
+constexpr double kFew = 12;          // senders; up to here neither acts
+constexpr double kMany = 48;         // senders; from here on both act in full
 constexpr double kStands = 4.0;      // s that evidence stands: about as long as an answer is then awaited
 constexpr double kOddsWidest = 0.6;  // share of the limit to either side
 
@@ -234,7 +235,6 @@
 
   void on(const NewCall& e) {
     if (calls_.count(e.call) != 0) return;
-    taken_.count(now_);
     Call& call = calls_[e.call];
     call.id = e.call;
     call.call_class = e.call_class;
@@ -389,13 +389,8 @@
                              kWaitDrain * std::max(0.0, now_ - since - kStands * sparseness()));
   }
 
-  // From 0 to 1: how seldom this sender has a call for each server.
-  double sparseness() const {
-    const double rate = taken_.now(now_) / -std::expm1(-std::max(1e-3, now_ - start_) / kRateWindow);
-    const double gap = static_cast<double>(servers_.size()) / std::max(rate, 1e-3);
-    const double others = 1 - 1.0 / std::max(1u, settings_.fleet_size);
-    return others * std::clamp((gap - kDense) / (kSparse - kDense), 0.0, 1.0);
-  }
+  // From 0 to 1: how little of a server's traffic this sender sees, being one of so many.
+  double sparseness() const { return std::clamp((settings_.fleet_size - kFew) / (kMany - kFew), 0.0, 1.0); }
 
   double room_limit(const Call& call) const {
     double limit = kRoomAim * class_of(call).aim_s;
@@ -906,7 +901,6 @@
   std::deque<std::pair<Time, std::uint64_t>> missed_order_;  // when each is forgotten
   double longest_deadline_ = 0;
   double longest_aim_ = 0;
-  Average taken_;        // calls
   double spacing_ = -1;  // x; below 0: nothing stood yet
   double shortest_ = 0;  // s; the shortest set-up delay of late, anywhere
   std::uint32_t held_ = 0;
