--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -48,7 +48,7 @@
 // from empty to full.
 constexpr double kFew = 12;          // senders; up to here neither acts
 constexpr double kMany = 48;         // senders; from here on both act in full
-constexpr double kStands = 4.0;      // s that evidence stands: about as long as an answer is then awaited
+constexpr double kStands = 3.0;      // s that evidence stands: about as long as an answer is then awaited
 constexpr double kOddsWidest = 0.6;  // share of the limit to either side
 
 // How old evidence of a wait fades, in seconds of wait for each second that passes.
