--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -194,8 +194,7 @@
   std::deque<Time> sends;     // attempts, lately
   std::deque<Time> answered;  // set-ups that stood or met a busy number, lately
   Average rate;               // of the same, a second
-  double rounded =
-      0;  // while cold: added to this sender's part, then rounded down, in the present fall window
+  double rounded = 0;  // while cold: added to this sender's part, then rounded down, in this fall window
   Time window_end = -kNever;
 };
 
@@ -221,7 +220,6 @@
   void handle(Time now, const Event& event, std::vector<Action>& actions) {
     now_ = now;
     actions_ = &actions;
-    if (start_ == -kNever) start_ = now;
     std::visit([this](const auto& e) { on(e); }, event);
   }
 
@@ -318,8 +316,7 @@
     return drawn.back().first;
   }
 
-  // Servers differ in what they still take, and the list may not say: the free lines tell, where they are
-  // known.
+  // Servers differ in what they still take: the free lines tell, where they are known, else the list.
   double size(const Server& server) const {
     if (server.spare) return *server.spare + kSizeFloor * server.total;
     return usable(server.entry.weight) ? server.entry.weight : 1;
@@ -665,8 +662,6 @@
           const double told = usable(e.told_wait_s) ? e.told_wait_s : 0;
           const double mark = told > 0 ? told : std::max(spacing_, kMarkLeast);
           server.marked_until = std::max(server.marked_until, now_ + mark);
-          server.wait = std::max(faded(server.wait, server.wait_at), sparseness() * longest_aim_);
-          server.wait_at = now_;
           server.slow_delay = std::max(server.slow_delay, now_ - sent);
         }
         server.strikes = 0;
@@ -888,7 +883,6 @@
   std::mt19937_64 random_;
   double best_worth_ = 1e-9;
   Time now_ = 0;
-  Time start_ = -kNever;
   std::vector<Action>* actions_ = nullptr;
   std::map<CallId, Call> calls_;
   std::map<ServerId, Server> servers_;
