--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -650,7 +650,7 @@
       if (e.outcome == Outcome::kReset) {
         server.cuts.push_back(now_);
         while (server.cuts.front() < now_ - kCutsTogether) server.cuts.pop_front();
-        if (server.cuts.size() >= kCutsToSuspect) suspect(server);
+        if (server.cuts.size() >= kCutsToSuspect && !cut_everywhere()) suspect(server);
       }
       return;
     }
@@ -696,6 +696,25 @@
     }
   }
 
+  // Calls cut at most servers together are no crash of one: with all of them suspect, nothing could be set
+  // up. It does harm where most servers did restart at once: they are met warm until they refuse or the list
+  // tells.
+  bool cut_everywhere() {
+    std::size_t cut = 0;
+    std::size_t listed = 0;
+    for (const auto& [id, server] : servers_) {
+      listed += server.listed;
+      cut += server.listed && !server.cuts.empty() && server.cuts.back() >= now_ - kCutsTogether;
+    }
+    if (2 * cut <= listed || cut < 2) return false;
+    for (auto& [id, server] : servers_) {
+      if (server.suspect && !server.unreachable && server.suspect_since >= now_ - kCutsTogether) {
+        server.suspect = false;
+      }
+    }
+    return true;
+  }
+
   void suspect(Server& server) {
     server.trial_gap = server.suspect ? std::min(2 * server.trial_gap, kSuspectLongest) : kSuspectFirst;
     if (server.suspect && now_ < server.trial_at) server.trial_gap /= 2;  // one failure, told several times
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -1022,6 +1022,25 @@
   EXPECT_EQ(b.sent_to(b.call(4, 0)), 10u);
 }
 
+// Incident i1bc71d: the calls at all servers were cut together, twice, and all servers became suspects.
+TEST(Failures, CallsCutAtMostServersTogetherMakeNoSuspects) {
+  Bench b;
+  b.servers(3);
+  CallId id = 1;
+  for (int server = 0; server < 3; ++server) {
+    for (int i = 0; i < 2; ++i, ++id) {
+      b.call(id, server);
+      b.stood(id, 10 + server);
+    }
+  }
+  for (CallId cut = 1; cut < id; ++cut) {
+    b.ended(cut, 10 + (cut - 1) / 2, Outcome::kReset, Cause::kNone, 0, 0, true);
+  }
+  for (int server = 0; server < 3; ++server) {
+    EXPECT_EQ(b.sent_to(b.call(100 + server, server)), 10u + server);
+  }
+}
+
 // ---- Any site ----
 
 TEST(Sites, NoServersAtAllStillEndsEveryCall) {
