--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -150,6 +150,22 @@
             (std::vector<Field>{Field::kSpare, Field::kTotal, Field::kWaitMs, Field::kUnknown}));
 }
 
+TEST(Wire, ReadsTheFleetAndItsReports) {
+  const InstanceSettings parsed = parse_settings(
+      "fleet_size=265\nme=3\nlimits.peers=true\ncallers.marks_retry=true\nclasses.count=1\n"
+      "classes.0.deadline_s=9.0\nload_info.fields=spare,total,load_share,depth\n");
+  EXPECT_EQ(parsed.settings.fleet_size, 265u);
+  EXPECT_EQ(parsed.settings.own_number, 3u);
+  EXPECT_TRUE(parsed.settings.tells_peers);
+  EXPECT_TRUE(parsed.settings.marks_redials);
+  EXPECT_EQ(parsed.settings.classes.at(0).deadline_s, 9.0);
+  const Report report = make_report(parsed.fields, {12, 100, 0.5F, 7});
+  EXPECT_EQ(report.spare, 12.0);
+  EXPECT_EQ(report.total, 100.0);
+  EXPECT_EQ(report.queue, 7.0);
+  EXPECT_FALSE(report.wait_s);
+}
+
 TEST(Wire, HearsayGoesThereAndBack) {
   const std::string bytes =
       pack_hearsay({{0x0a124a07138b, 0.25, 1.5}, {7, 1e9, std::numeric_limits<double>::quiet_NaN()}});
