--- a/src/diameter/codec.hpp
+++ b/src/diameter/codec.hpp
@@ -91,6 +91,8 @@
   const Fault& fault() const { return fault_; }
   const Header& header() const { return header_; }
   std::size_t buffered() const { return buffer_.size() - at_; }
+  // What was fed and not yet handed out.
+  std::string_view rest() const { return std::string_view(buffer_).substr(at_); }
 
  private:
   std::uint32_t max_length_;
--- a/src/diameter/peer.cpp
+++ b/src/diameter/peer.cpp
@@ -143,6 +143,11 @@
   }
 }
 
+void Peer::note_origin_state(const MessageView& message) {
+  const AvpView* state = message.find(avp::kOriginStateId.code);
+  if (state != nullptr) peer_origin_state_ = as_u32(*state).value_or(peer_origin_state_);
+}
+
 bool Peer::accept(const MessageView& cer, double now, std::string& reply) {
   reply.clear();
   if (stopped_) {
@@ -155,18 +160,21 @@
   }
   switch (state_) {
     case State::kClosed:
+      note_origin_state(cer);
       accepted_ = true;
       framers_[1] = std::make_unique<Framer>(settings_.max_length);
       sink_.send(Link::kAccepted, make_cea(cer));
       open_on(Link::kAccepted, now);
       return true;
     case State::kWaitConnAck:
+      note_origin_state(cer);
       accepted_ = true;
       framers_[1] = std::make_unique<Framer>(settings_.max_length);
       held_cea_ = make_cea(cer);
       enter(State::kWaitConnAckElect, now);
       return true;
     case State::kWaitICea:
+      note_origin_state(cer);
       accepted_ = true;
       framers_[1] = std::make_unique<Framer>(settings_.max_length);
       if (win_election()) {
@@ -460,6 +468,7 @@
     return fall("another host", now);
   }
   if (!common_application(view)) return fall("no common application", now);
+  note_origin_state(view);
   if (state_ == State::kWaitReturns) {
     close_link(Link::kAccepted);
     held_cea_.clear();
--- a/src/diameter/peer.hpp
+++ b/src/diameter/peer.hpp
@@ -89,6 +89,9 @@
   Watchdog::State watchdog_state() const { return watchdog_.state(); }
   // The reason of the peer's DPR, if it sent one last.
   std::optional<DisconnectCause> peer_cause() const { return peer_cause_; }
+  // Origin-State-Id as the other side gave it last; 0: never. A change means that it lost its sessions
+  // (section 8.16).
+  std::uint32_t peer_origin_state() const { return peer_origin_state_; }
 
   // ---- Events ----
   void start(double now);                // begin to connect (initiators)
@@ -118,6 +121,7 @@
   void handle_cea(const MessageView& message, double now);
   void process_dpr(Link link, const MessageView& message, double now);
   void apply(const Watchdog::Actions& actions, double now);
+  void note_origin_state(const MessageView& message);
   void send_cer();
   void send_dwr();
   std::string make_cea(const MessageView& cer) const;
@@ -140,6 +144,7 @@
   double reconnect_at_ = 0;
   std::string held_cea_;  // for the accepted link, until the election is over
   std::optional<DisconnectCause> peer_cause_;
+  std::uint32_t peer_origin_state_ = 0;
   std::unique_ptr<Framer> framers_[2];
   std::mt19937_64 random_;
   Watchdog watchdog_;
--- /dev/null
+++ b/src/edge/core_side.hpp
@@ -0,0 +1,140 @@
+// The core servers as this proxy's peers: one connection each, set-ups and releases out, answers and cuts in.
+//
+// Nothing is decided here: what came of each attempt is told through CorePorts, once.
+#ifndef MINTROCK_SRC_EDGE_CORE_SIDE_HPP_
+#define MINTROCK_SRC_EDGE_CORE_SIDE_HPP_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "edge/call_desk.hpp"
+#include "edge/config.hpp"
+#include "edge/credit_control.hpp"
+#include "edge/peer_link.hpp"
+#include "list/pool_list.hpp"
+
+namespace mintrock::edge {
+
+using RecordPtr = std::shared_ptr<const CallRecord>;
+
+class CorePorts {
+ public:
+  virtual ~CorePorts() = default;
+  virtual void core_stood(CallId call, std::uint32_t attempt, const CoreAnswer& answer) = 0;
+  virtual void core_ended(CallId call, std::uint32_t attempt, const CoreAnswer& answer) = 0;
+  virtual void core_load(ServerId server, const CoreAnswer& answer) = 0;
+  // One line of the log about a server's connection.
+  virtual void core_event(const std::string& server, const char* event, const std::string& detail) = 0;
+};
+
+struct CoreCounts {
+  std::uint64_t unexpected = 0;  // answers to no request, or second ones
+  std::uint64_t late = 0;        // answers of attempts that were given up
+  std::uint64_t late_stood = 0;  // of those, ones that said the call stands: released again
+  std::uint64_t bad = 0;         // malformed
+};
+
+class CoreSide {
+ public:
+  CoreSide(net::Loop& loop, const diameter::LocalNode& local, const Config& config, std::uint64_t seed,
+           CorePorts& ports);
+  ~CoreSide();
+
+  // What the list says of a server. One that is ready is connected to at once.
+  void update(ServerId server, const list::Entry& entry);
+  Handover send_setup(CallId call, std::uint32_t attempt, ServerId server, double give_up_after_s, RecordPtr record,
+                      const std::string& from_peer);
+  void release(CallId call, std::uint32_t attempt, ServerId server, RecordPtr record, const std::string& from_peer);
+  // The end of a call that another proxy set up. False: no such server, or no connection.
+  bool pass_termination(const std::string& server, const CallRecord& record, const std::string& from_peer);
+  // An accepted connection whose CER names one of the core servers; false: it names none.
+  bool offer_connection(const std::shared_ptr<net::Stream>& stream, const diameter::MessageView& cer,
+                        std::string_view rest);
+  // DPR to all. `closed()` tells when all have gone.
+  void stop();
+  bool closed() const;
+
+  struct View {
+    std::string identity;
+    std::string state;
+    std::string watchdog;
+    std::size_t out = 0;
+    std::size_t standing = 0;
+    double load = -1;
+  };
+  std::vector<View> servers() const;
+  const CoreCounts& counts() const { return counts_; }
+
+ private:
+  struct Leg {  // an attempt, or the standing call it became, by its session
+    CallId call = 0;
+    std::uint32_t attempt = 0;
+    bool stands = false;
+  };
+  struct Pending {
+    std::string session;
+    CallId call = 0;
+    std::uint32_t attempt = 0;
+    bool release = false;   // a CCR TERMINATION
+    bool given_up = false;  // nobody waits for it any more
+    double expires = 0;     // of those nobody waits for
+    RecordPtr record;
+    std::string from_peer;
+  };
+  struct Queued {  // waits for the connection
+    CallId call = 0;
+    std::uint32_t attempt = 0;
+    double give_up_at = 0;
+    double until = 0;
+    RecordPtr record;
+    std::string from_peer;
+  };
+  struct Server {
+    ServerId id = 0;
+    list::Entry entry;
+    std::unique_ptr<PeerLink> link;
+    std::unordered_map<std::string, Leg> legs;
+    std::unordered_map<std::uint32_t, Pending> pending;
+    std::deque<std::pair<double, std::uint32_t>> lingering;  // pending ones that expire, in order
+    std::deque<Queued> queued;
+    net::TimerId queue_timer = 0;
+    net::TimerId hold_timer = 0;
+    std::uint32_t origin_state = 0;  // of the connection that is, or last was, up
+    bool lost = false;               // the connection was lost with calls standing
+    double load = -1;
+  };
+
+  Server* find(ServerId id);
+  void make_link(Server& server);
+  void transmit(Server& server, CallId call, std::uint32_t attempt, double give_up_after_s, RecordPtr record,
+                const std::string& from_peer);
+  void send_release(Server& server, const RecordPtr& record, const std::string& from_peer);
+  void linger(Server& server, std::uint32_t hop_by_hop);
+  void on_up(Server& server);
+  void on_down(Server& server, const std::string& why);
+  void on_refused(Server& server, const std::string& why);
+  void on_message(Server& server, const diameter::MessageView& view);
+  void on_answer(Server& server, const diameter::MessageView& view);
+  void on_abort(Server& server, const diameter::MessageView& view);
+  void cut_standing(Server& server);
+  void fail_queued(Server& server, Outcome outcome);
+  void watch_queue(Server& server);
+
+  net::Loop& loop_;
+  const diameter::LocalNode& local_;
+  const Config& config_;
+  std::uint64_t seed_;
+  CorePorts& ports_;
+  std::map<ServerId, std::unique_ptr<Server>> servers_;
+  CoreCounts counts_;
+  bool stopping_ = false;
+};
+
+}  // namespace mintrock::edge
+
+#endif  // MINTROCK_SRC_EDGE_CORE_SIDE_HPP_
--- /dev/null
+++ b/src/edge/credit_control.cpp
@@ -0,0 +1,236 @@
+#include "edge/credit_control.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace mintrock::edge {
+namespace {
+
+namespace avp = diameter::avp;
+using diameter::AvpDef;
+using diameter::AvpView;
+using diameter::Builder;
+using diameter::Header;
+using diameter::MessageView;
+
+constexpr double kLongestMs = 4294967295.0;
+
+std::string text(const MessageView& message, const AvpDef& def) {
+  const AvpView* found = message.find(def.code, def.vendor);
+  return found != nullptr ? std::string(found->data) : std::string();
+}
+
+std::optional<std::uint32_t> number(const MessageView& message, const AvpDef& def) {
+  const AvpView* found = message.find(def.code, def.vendor);
+  return found != nullptr ? diameter::as_u32(*found) : std::nullopt;
+}
+
+void append_padded(std::string& out, std::string_view whole) {
+  out.append(whole);
+  out.resize((out.size() + 3) & ~std::size_t{3}, '\0');
+}
+
+Header request_header(std::uint32_t command, std::uint32_t hop_by_hop, std::uint32_t end_to_end) {
+  Header header;
+  header.flags = diameter::kRequest | diameter::kProxiable;
+  header.command = command;
+  header.application = diameter::kApplicationCreditControl;
+  header.hop_by_hop = hop_by_hop;
+  header.end_to_end = end_to_end;
+  return header;
+}
+
+void write_common(Builder& out, const CallRecord& call, const std::string& server, std::uint32_t type,
+                  std::uint32_t request_number) {
+  out.text(avp::kSessionId, call.session_id)
+      .text(avp::kOriginHost, call.origin_host)
+      .text(avp::kOriginRealm, call.origin_realm)
+      .text(avp::kDestinationRealm, call.destination_realm)
+      .u32(avp::kAuthApplicationId, diameter::kApplicationCreditControl)
+      .text(avp::kServiceContextId, call.service_context)
+      .u32(avp::kCcRequestType, type)
+      .u32(avp::kCcRequestNumber, request_number)
+      .text(avp::kDestinationHost, server);
+}
+
+std::uint32_t milliseconds(double seconds) {
+  return static_cast<std::uint32_t>(std::clamp(std::ceil(seconds * 1000), 0.0, kLongestMs));
+}
+
+// AVPs that are written anew, or that concern this hop alone; all others are passed on untouched.
+bool own(const AvpView& each) {
+  static const AvpDef* const kOwn[] = {&avp::kSessionId,        &avp::kOriginHost,       &avp::kOriginRealm,
+                                       &avp::kDestinationRealm, &avp::kAuthApplicationId, &avp::kServiceContextId,
+                                       &avp::kCcRequestType,    &avp::kCcRequestNumber,  &avp::kDestinationHost,
+                                       &avp::kCalledStationId,  &avp::kServiceIdentifier, &avp::kMaximumWaitTime,
+                                       &avp::kLinesRequired,    &avp::kRedialIndicator};
+  return std::any_of(std::begin(kOwn), std::end(kOwn),
+                     [&](const AvpDef* def) { return def->code == each.code && def->vendor == each.vendor; });
+}
+
+}  // namespace
+
+std::uint32_t request_type(const MessageView& message) { return number(message, avp::kCcRequestType).value_or(0); }
+std::string session_of(const MessageView& message) { return text(message, avp::kSessionId); }
+
+CallRecord read_setup(const MessageView& request) {
+  CallRecord call;
+  call.header = request.header;
+  call.end_to_end = request.header.end_to_end;
+  call.session_id = text(request, avp::kSessionId);
+  call.origin_host = text(request, avp::kOriginHost);
+  call.origin_realm = text(request, avp::kOriginRealm);
+  call.destination_realm = text(request, avp::kDestinationRealm);
+  call.destination_host = text(request, avp::kDestinationHost);
+  call.service_context = text(request, avp::kServiceContextId);
+  call.called = text(request, avp::kCalledStationId);
+  call.service_identifier = number(request, avp::kServiceIdentifier);
+  call.max_wait_ms = number(request, avp::kMaximumWaitTime);
+  call.lines = number(request, avp::kLinesRequired).value_or(1);
+  call.redial = number(request, avp::kRedialIndicator).value_or(0);
+  call.request_number = number(request, avp::kCcRequestNumber).value_or(0);
+  for (const AvpView& each : request.avps) {
+    if (each.code == avp::kProxyInfo.code && each.vendor == 0) append_padded(call.proxy_info, each.whole);
+    if (!own(each)) append_padded(call.passed_on, each.whole);
+  }
+  return call;
+}
+
+std::string write_setup(const CallRecord& call, const std::string& server, const std::string& from_peer,
+                        std::uint32_t hop_by_hop, bool repeated, double give_up_after_s) {
+  Header header = request_header(diameter::kCreditControl, hop_by_hop, call.end_to_end);
+  if (repeated) header.flags |= diameter::kRetransmitted;
+  Builder out(header);
+  write_common(out, call, server, diameter::kInitial, call.request_number);
+  if (!call.called.empty()) out.text(avp::kCalledStationId, call.called);
+  if (call.service_identifier) out.u32(avp::kServiceIdentifier, *call.service_identifier);
+  out.u32(avp::kMaximumWaitTime, milliseconds(give_up_after_s));
+  if (call.lines != 1) out.u32(avp::kLinesRequired, call.lines);
+  if (call.redial != 0) out.u32(avp::kRedialIndicator, call.redial);
+  out.raw(call.passed_on).text(avp::kRouteRecord, from_peer);
+  return out.finish();
+}
+
+std::string write_termination(const CallRecord& call, const std::string& server, const std::string& from_peer,
+                              std::uint32_t hop_by_hop, std::uint32_t end_to_end) {
+  Builder out(request_header(diameter::kCreditControl, hop_by_hop, end_to_end));
+  write_common(out, call, server, diameter::kTermination, call.request_number + 1);
+  out.text(avp::kRouteRecord, from_peer);
+  return out.finish();
+}
+
+std::string write_setup_answer(const CallRecord& call, const SetupAnswer& answer) {
+  const bool protocol_error = answer.result >= 3000 && answer.result < 4000;
+  Builder out(diameter::answer_header(call.header, protocol_error));
+  out.text(avp::kSessionId, call.session_id)
+      .u32(avp::kResultCode, answer.result)
+      .text(avp::kOriginHost, answer.origin_host)
+      .text(avp::kOriginRealm, answer.origin_realm)
+      .u32(avp::kAuthApplicationId, diameter::kApplicationCreditControl)
+      .u32(avp::kCcRequestType, diameter::kInitial)
+      .u32(avp::kCcRequestNumber, call.request_number);
+  if (answer.retry_after_s > 0) out.u32(avp::kRetryAfter, milliseconds(answer.retry_after_s));
+  if (!answer.text.empty()) out.text(avp::kErrorMessage, answer.text);
+  out.raw(call.proxy_info);
+  return out.finish();
+}
+
+std::string write_success(const MessageView& request, const diameter::LocalNode& local) {
+  Builder out(diameter::answer_header(request.header, false));
+  out.text(avp::kSessionId, session_of(request))
+      .u32(avp::kResultCode, diameter::kSuccess)
+      .text(avp::kOriginHost, local.host)
+      .text(avp::kOriginRealm, local.realm);
+  if (request.header.command == diameter::kCreditControl) {
+    out.u32(avp::kAuthApplicationId, diameter::kApplicationCreditControl)
+        .u32(avp::kCcRequestType, request_type(request))
+        .u32(avp::kCcRequestNumber, number(request, avp::kCcRequestNumber).value_or(0));
+  }
+  diameter::copy_proxy_info(request, out);
+  return out.finish();
+}
+
+std::string write_abort(const CallRecord& call, const diameter::LocalNode& local, std::uint32_t hop_by_hop,
+                        std::uint32_t end_to_end) {
+  Builder out(request_header(diameter::kAbortSession, hop_by_hop, end_to_end));
+  out.text(avp::kSessionId, call.session_id)
+      .text(avp::kOriginHost, local.host)
+      .text(avp::kOriginRealm, local.realm)
+      .text(avp::kDestinationRealm, call.origin_realm)
+      .text(avp::kDestinationHost, call.origin_host)
+      .u32(avp::kAuthApplicationId, diameter::kApplicationCreditControl);
+  return out.finish();
+}
+
+CoreAnswer read_core_answer(const MessageView& answer) {
+  CoreAnswer out;
+  const std::uint32_t result = number(answer, avp::kResultCode).value_or(0);
+  double wait_s = 0;
+  if (const AvpView* group = answer.find(avp::kServerLoad.code, avp::kServerLoad.vendor)) {
+    MessageView inner;
+    if (!diameter::split_avps(group->data, inner.avps)) {
+      if (const auto ms = number(inner, avp::kProcessorWait)) out.report.wait_s = *ms / 1000.0;
+      if (const auto queue = number(inner, avp::kQueueLength)) out.report.queue = *queue;
+      if (const auto spare = number(inner, avp::kSpareLines)) out.report.spare = *spare;
+      if (const auto total = number(inner, avp::kTotalLines)) out.report.total = *total;
+    }
+  }
+  if (const auto ms = number(answer, avp::kRetryAfter)) wait_s = *ms / 1000.0;
+  for (const AvpView& each : answer.avps) {
+    if (each.code != avp::kLoad.code || each.vendor != 0) continue;
+    MessageView inner;
+    if (diameter::split_avps(each.data, inner.avps)) continue;
+    const AvpView* value = inner.find(avp::kLoadValue.code);
+    const auto type = number(inner, avp::kLoadType);
+    const auto raw = value != nullptr ? diameter::as_u64(*value) : std::nullopt;
+    // RFC 8583 section 7.3: 0 to 65535, of HOST (0)
+    if (raw && type.value_or(1) == 0) out.load = std::min(1.0, static_cast<double>(*raw) / 65535.0);
+  }
+  if (result / 1000 == 2) {
+    out.stands = true;
+    return out;
+  }
+  switch (result) {
+    case diameter::kTooBusy:
+      out.outcome = Outcome::kFull;
+      out.cause = Cause::kProcessorFull;
+      out.told_wait_s = wait_s;
+      break;
+    case diameter::kResourcesExceeded:
+      out.outcome = Outcome::kFull;
+      out.cause = Cause::kNoLine;
+      break;
+    case diameter::kUnableToDeliver:
+      out.outcome = Outcome::kFull;
+      out.cause = Cause::kTurnedBack;
+      break;
+    case diameter::kEndUserServiceDenied:
+      out.outcome = Outcome::kError;
+      out.cause = Cause::kNumberBusy;
+      break;
+    default:
+      out.outcome = Outcome::kError;
+  }
+  return out;
+}
+
+void write_report(Builder& out, const Report& report) {
+  if (!report.wait_s && !report.queue && !report.spare && !report.total) return;
+  const auto whole = [](double value) { return static_cast<std::uint32_t>(std::clamp(value, 0.0, kLongestMs)); };
+  out.begin_group(avp::kServerLoad);
+  if (report.wait_s) out.u32(avp::kProcessorWait, whole(*report.wait_s * 1000));
+  if (report.queue) out.u32(avp::kQueueLength, whole(*report.queue));
+  if (report.spare) out.u32(avp::kSpareLines, whole(*report.spare));
+  if (report.total) out.u32(avp::kTotalLines, whole(*report.total));
+  out.end_group();
+}
+
+std::uint64_t key_of(std::string_view called) {
+  if (called.empty()) return 0;
+  const std::uint64_t key = XXH3_64bits(called.data(), called.size());
+  return key == 0 ? 1 : key;
+}
+
+}  // namespace mintrock::edge
--- /dev/null
+++ b/src/edge/edge.cpp
@@ -0,0 +1,420 @@
+#include "edge/edge.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
+#include <utility>
+
+#include "config/yaml.hpp"
+#include "edge/logging.hpp"
+
+namespace mintrock::edge {
+namespace {
+
+using spdlog::level::debug;
+using spdlog::level::err;
+using spdlog::level::info;
+using spdlog::level::warn;
+
+std::uint64_t draw_seed(std::uint64_t told) {
+  if (told != 0) return told;
+  std::random_device device;
+  return std::uint64_t{device()} << 32 | device();
+}
+
+diameter::LocalNode make_local(const Config& config) {
+  diameter::LocalNode local;
+  local.host = config.node.identity;
+  local.realm = config.node.realm;
+  local.address = config.node.listen.ip;
+  local.origin_state = static_cast<std::uint32_t>(net::wall_now());
+  return local;
+}
+
+}  // namespace
+
+Edge::Edge(net::Loop& loop, Config config, std::string config_file)
+    : loop_(loop),
+      config_(std::move(config)),
+      config_file_(std::move(config_file)),
+      seed_(draw_seed(config_.seed)),
+      local_(make_local(config_)),
+      desk_(config_.settings, seed_, config_.max_calls, *this),
+      core_(loop_, local_, config_, seed_ + 1, *this),
+      front_(
+          loop_, local_, config_, seed_ + 2, *this,
+          [this](const std::shared_ptr<net::Stream>& stream, const diameter::MessageView& cer,
+                 std::string_view rest) { return core_.offer_connection(stream, cer, rest); },
+          [](const std::string& peer, const char* event, const std::string& detail) {
+            const bool bad = detail.size() > 0 && std::string(event) != "down";
+            log_event(bad ? warn : info, event, {{"side", "caller"}, {"peer", peer}, {"detail", detail}});
+          }),
+      hearsay_out_(config_.settings.own_number, static_cast<std::uint64_t>(net::wall_now() * 1000)),
+      hearsay_in_(config_.settings.own_number, config_.settings.fleet_size) {
+  const auto count = [this](const char* name, const char* help, const std::map<std::string, std::string>& labels,
+                            const std::uint64_t& value) {
+    metrics_.counter(name, help, labels, [&value] { return static_cast<double>(value); });
+  };
+  const DeskCounts& d = desk_.counts();
+  const char* const kCalls = "mintrock_calls_total";
+  const char* const kCallsHelp = "Calls by what became of their set-up";
+  count("mintrock_calls_offered_total", "Calls that callers offered", {}, d.offered);
+  count(kCalls, kCallsHelp, {{"outcome", "stood"}}, d.stood);
+  count(kCalls, kCallsHelp, {{"outcome", "refused"}}, d.refused);
+  count(kCalls, kCallsHelp, {{"outcome", "failed"}}, d.failed);
+  count(kCalls, kCallsHelp, {{"outcome", "abandoned"}}, d.abandoned);
+  count("mintrock_calls_turned_away_total", "Of the refused: table full, or draining", {}, d.turned_away);
+  count("mintrock_calls_overdue_total", "Answered by the last guard at the caller's end; a fault", {}, d.overdue);
+  count("mintrock_calls_cut_total", "Standing calls ended by the core side", {}, d.cut);
+  count("mintrock_calls_ended_total", "Standing calls ended by their callers", {}, d.ended);
+  const char* const kAttempts = "mintrock_attempts_ended_total";
+  count("mintrock_attempts_total", "Set-ups sent to core servers", {}, d.attempts);
+  count(kAttempts, "Attempts that ended in doubt", {{"how", "timed_out"}}, d.timed_out);
+  count(kAttempts, "Attempts that ended in doubt", {{"how", "cancelled"}}, d.cancelled);
+  const CoreCounts& c = core_.counts();
+  count("mintrock_core_answers_unexpected_total", "Answers to no request of ours", {}, c.unexpected);
+  count("mintrock_core_answers_late_total", "Answers of attempts given up", {}, c.late);
+  count("mintrock_core_late_stood_total", "Of those, calls that stood and were released", {}, c.late_stood);
+  count("mintrock_malformed_total", "Malformed messages", {{"side", "core"}}, c.bad);
+  const FrontCounts& f = front_.counts();
+  count("mintrock_malformed_total", "Malformed messages", {{"side", "caller"}}, f.bad);
+  count("mintrock_connections_total", "Callers' connections accepted", {}, f.connections);
+  count("mintrock_connections_rejected_total", "Callers' connections rejected", {}, f.rejected);
+  count("mintrock_duplicates_total", "Requests that came again", {}, f.duplicates);
+  metrics_.gauge("mintrock_calls_open", "Calls without an answer yet", {},
+                 [this] { return static_cast<double>(desk_.open()); });
+  metrics_.gauge("mintrock_calls_standing", "Calls that stand", {},
+                 [this] { return static_cast<double>(desk_.standing()); });
+  metrics_.gauge("mintrock_timers", "Timers set", {},
+                 [this] { return static_cast<double>(desk_.timers() + loop_.timers().size()); });
+  metrics_.gauge("mintrock_list_revision", "Revision of the pool list", {},
+                 [this] { return static_cast<double>(book_.revision()); });
+  metrics_.gauge("mintrock_callers_connected", "Callers with an open connection", {},
+                 [this] { return static_cast<double>(front_.open_peers()); });
+}
+
+Edge::~Edge() {
+  loop_.timers().cancel(desk_timer_);
+  loop_.timers().cancel(drain_timer_);
+}
+
+void Edge::start() {
+  admin_ = std::make_unique<Admin>(
+      loop_, config_.node.admin,
+      std::map<std::string, Admin::Handler>{
+          {"/healthz", [this] { return health(); }},
+          {"/metrics", [this] { return Admin::Response{200, "text/plain; version=0.0.4", metrics_.text()}; }},
+          {"/calls", [this] { return calls(); }}});
+  if (config_.settings.tells_peers) {
+    datagrams_ = std::make_unique<net::Datagrams>(
+        loop_, config_.fleet.listen, [this](std::string_view bytes, net::Address from) { on_datagram(bytes, from); });
+  }
+  list_ = std::make_unique<list::Client>(
+      loop_, config_.list.server, config_.list.path, config_.list.reconnect_s, config_.list.idle_s,
+      list::Client::Handlers{[this](const list::SseEvent& event) { on_list(event); },
+                             [this](const std::string& why) {
+                               log_event(warn, "list_failed", {{"detail", why}});
+                               list_fresh_ = false;
+                               ServerList failed;
+                               failed.mode = ServerList::Mode::kFailed;
+                               desk_.list(failed, loop_.now());
+                               watch_desk();
+                             }});
+  load_cached_list();
+  desk_.start(loop_.now());
+  watch_desk();
+  log_event(info, "started",
+            {{"listen", front_.listening().str()}, {"admin", admin_->listening().str()}, {"node", local_.host}});
+}
+
+// The desk's timers ride on one timer of the loop.
+void Edge::watch_desk() {
+  const double due = desk_.deadline();
+  if (desk_timer_ != 0 && desk_timer_at_ <= due) return;
+  loop_.timers().cancel(std::exchange(desk_timer_, 0));
+  if (due == std::numeric_limits<double>::infinity()) return;
+  desk_timer_at_ = due;
+  desk_timer_ = loop_.timers().at(due, [this] {
+    desk_timer_ = 0;
+    desk_.tick(loop_.now());
+    watch_desk();
+  });
+}
+
+// ---- Fronts ----
+
+void Edge::offer(Front& front, CallId id, RecordPtr record, const std::string& from_peer) {
+  Offer offer;
+  const auto service = record->service_identifier.value_or(0);
+  const auto known = config_.class_of_service.find(service);
+  if (known != config_.class_of_service.end()) offer.call_class = known->second;
+  const double deadline = config_.settings.classes[offer.call_class].deadline_s;
+  offer.ttl_s = record->max_wait_ms ? std::min(deadline, *record->max_wait_ms / 1000.0) : deadline;
+  offer.key = key_of(record->called);
+  offer.lines = record->lines;
+  if (const list::Entry* entry = book_.find(book_.number(record->destination_host))) offer.first_choice = entry->node;
+  offer.redialled = record->redial == 1;
+  offer.was_cut = record->redial == 2;
+  calls_[id] = {&front, std::move(record), from_peer};
+  desk_.offer(id, offer, loop_.now());
+  watch_desk();
+}
+
+bool Edge::hang_up(CallId call) {
+  const bool known = desk_.hang_up(call, loop_.now());
+  watch_desk();
+  return known;
+}
+
+bool Edge::pass_termination(const CallRecord& record, const std::string& from_peer) {
+  return core_.pass_termination(record.destination_host, record, from_peer);
+}
+
+const std::string& Edge::identity_of(ServerId server) {
+  static const std::string kUnknown = "unknown";
+  const list::Entry* entry = book_.find(server);
+  return entry != nullptr ? entry->identity : kUnknown;
+}
+
+// ---- What the desk asks for ----
+
+void Edge::answer(CallId call, const Verdict& verdict) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return;
+  if (std::string_view(verdict.why) == "overdue") {
+    log_event(err, "overdue", {{"session", found->second.record->session_id}});
+  }
+  log_event(debug, "answered", {{"session", found->second.record->session_id}, {"detail", verdict.why}});
+  found->second.front->answer(call, verdict);
+}
+
+void Edge::cut(CallId call) {
+  const auto found = calls_.find(call);
+  if (found != calls_.end()) found->second.front->cut(call);
+}
+
+void Edge::forget(CallId call) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return;
+  found->second.front->forget(call);
+  calls_.erase(found);
+}
+
+Handover Edge::send_setup(CallId call, std::uint32_t attempt, ServerId server, double give_up_after_s) {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return Handover::kNotSent;
+  return core_.send_setup(call, attempt, server, give_up_after_s, found->second.record, found->second.from_peer);
+}
+
+void Edge::release(CallId call, std::uint32_t attempt, ServerId server) {
+  const auto found = calls_.find(call);
+  if (found != calls_.end()) core_.release(call, attempt, server, found->second.record, found->second.from_peer);
+}
+
+void Edge::subscribe() { list_->open(); }
+
+void Edge::tell_peer(std::uint32_t peer, const std::vector<Hearsay>& hearsay) {
+  if (!datagrams_ || peer >= config_.fleet.peers.size()) return;
+  datagrams_->send(hearsay_out_.pack(hearsay, [this](ServerId id) { return identity_of(id); }),
+                   config_.fleet.peers[peer]);
+}
+
+void Edge::log(const std::string& text) { log_event(info, "decision", {{"detail", text}}); }
+
+// ---- What the core side tells ----
+
+void Edge::core_stood(CallId call, std::uint32_t attempt, const CoreAnswer& answer) {
+  desk_.stood(call, attempt, answer.report, loop_.now());
+  watch_desk();
+}
+
+void Edge::core_ended(CallId call, std::uint32_t attempt, const CoreAnswer& answer) {
+  desk_.ended(call, attempt, answer.outcome, answer.cause, answer.told_wait_s, answer.report, loop_.now());
+  watch_desk();
+}
+
+void Edge::core_load(ServerId server, const CoreAnswer& answer) {
+  desk_.load(server, answer.report, loop_.now());
+  watch_desk();
+}
+
+void Edge::core_event(const std::string& server, const char* event, const std::string& detail) {
+  const std::string_view name(event);
+  const bool bad = name != "up" && name != "usable";
+  log_event(bad ? warn : info, event, {{"side", "core"}, {"peer", server}, {"detail", detail}});
+}
+
+// ---- The pool list ----
+
+void Edge::on_list(const list::SseEvent& event) {
+  list::News news;
+  try {
+    news = list::parse_news(event.data);
+  } catch (const std::exception& error) {
+    log_event(warn, "list_malformed", {{"detail", error.what()}});
+    return;
+  }
+  for (const std::string& fault : news.faults) log_event(warn, "list_entry_malformed", {{"detail", fault}});
+  if (!book_.take(news)) return;
+  list_fresh_ = true;
+  const double now = loop_.now();
+  log_event(info, "list", {{"revision", std::to_string(news.revision)}});
+  // Told to the Controller first: what is drained must be known before anything that waits is looked at again.
+  desk_.list(book_.event(news, news.full ? ServerList::Mode::kFull : ServerList::Mode::kDelta, now, net::wall_now()),
+             now);
+  for (const auto& [id, entry] : book_.entries()) core_.update(id, entry);
+  watch_desk();
+  save_list();
+}
+
+void Edge::load_cached_list() {
+  if (config_.list.cache_file.empty()) return;
+  std::ifstream in(config_.list.cache_file);
+  if (!in) return;
+  std::ostringstream text;
+  text << in.rdbuf();
+  try {
+    list::News news = list::parse_news(text.str());
+    // Whatever comes next is news, be its revision lower or not: the list may have begun anew.
+    news.revision = 0;
+    book_.take(news);
+    const double now = loop_.now();
+    desk_.list(book_.event(news, ServerList::Mode::kCached, now, net::wall_now()), now);
+    for (const auto& [id, entry] : book_.entries()) core_.update(id, entry);
+    log_event(info, "list_cached", {{"detail", std::to_string(news.entries.size()) + " servers"}});
+  } catch (const std::exception& error) {
+    log_event(warn, "list_cache_malformed", {{"detail", config_.list.cache_file + ": " + error.what()}});
+  }
+}
+
+// At most once a second, by a new file that takes the old one's place whole.
+void Edge::save_list() {
+  if (config_.list.cache_file.empty() || save_pending_) return;
+  save_pending_ = true;
+  loop_.after(1.0, [this] {
+    save_pending_ = false;
+    const std::string fresh = config_.list.cache_file + ".new";
+    std::ofstream out(fresh, std::ios::trunc);
+    out << list::print_news(book_.snapshot());
+    out.close();
+    if (!out || std::rename(fresh.c_str(), config_.list.cache_file.c_str()) != 0) {
+      log_event(warn, "list_cache_not_written", {{"detail", config_.list.cache_file}});
+    }
+  });
+}
+
+// ---- Other proxies ----
+
+void Edge::on_datagram(std::string_view bytes, net::Address from) {
+  const auto& peers = config_.fleet.peers;
+  const auto found = std::find(peers.begin(), peers.end(), from);
+  std::string why = "from an address of no proxy";
+  std::optional<PeerNews> news;
+  if (found != peers.end()) {
+    news = hearsay_in_.read(bytes, static_cast<std::uint32_t>(found - peers.begin()),
+                            [this](const std::string& identity) { return book_.number(identity); }, why);
+  }
+  if (!news) {
+    log_event(debug, "hearsay_dropped", {{"peer", from.str()}, {"detail", why}});
+    return;
+  }
+  desk_.peer_news(*news, loop_.now());
+  watch_desk();
+}
+
+// ---- Operators ----
+
+void Edge::reload() {
+  Config fresh;
+  try {
+    fresh = load_config(config_file_);
+  } catch (const std::exception& error) {
+    log_event(err, "reload_failed", {{"detail", error.what()}});
+    return;
+  }
+  for (const std::string& key : needs_restart(config_, fresh)) {
+    log_event(warn, "reload_needs_restart", {{"detail", key}});
+  }
+  config_.log.level = fresh.log.level;
+  config_.callers = fresh.callers;
+  config_.max_calls = fresh.max_calls;
+  set_log_level(config_.log.level);
+  desk_.set_max_calls(config_.max_calls);
+  log_event(info, "reloaded", {});
+}
+
+void Edge::drain() {
+  if (draining_) return;
+  draining_ = true;
+  log_event(info, "draining", {{"open", std::to_string(desk_.open())}});
+  desk_.drain();
+  front_.stop_listening();
+  double longest = 0;
+  for (const auto& each : config_.settings.classes) longest = std::max(longest, each.deadline_s);
+  drain_until_ = loop_.now() + longest + 1;
+  drained();
+}
+
+// Answers first, then the peers are told, then the end.
+void Edge::drained() {
+  constexpr double kLook = 0.05;      // s
+  constexpr double kDprAnswers = 11;  // s; a peer's own time-out for the DPA is 10 s
+  const bool over = loop_.now() >= drain_until_;
+  if (!stopping_ && (desk_.open() == 0 || over)) {
+    stopping_ = true;
+    drain_until_ = loop_.now() + kDprAnswers;
+    front_.stop();
+    core_.stop();
+  } else if (stopping_ && ((front_.closed() && core_.closed()) || over)) {
+    log_event(info, "stopped", {});
+    return loop_.stop();
+  }
+  drain_timer_ = loop_.after(kLook, [this] { drained(); });
+}
+
+Admin::Response Edge::health() const {
+  std::size_t open = 0;
+  nlohmann::ordered_json servers = nlohmann::ordered_json::array();
+  for (const CoreSide::View& each : core_.servers()) {
+    open += each.state == "I-Open" || each.state == "R-Open";
+    servers.push_back({{"server", each.identity},
+                       {"peer", each.state},
+                       {"watchdog", each.watchdog},
+                       {"out", each.out},
+                       {"standing", each.standing}});
+    if (each.load >= 0) servers.back()["load"] = each.load;
+  }
+  const char* state = draining_ ? "draining" : open == 0 ? "no core server" : !list_fresh_ ? "list lost" : "ok";
+  const nlohmann::ordered_json json{{"state", state}, {"list_revision", book_.revision()}, {"servers", servers}};
+  return {draining_ || open == 0 ? 503 : 200, "application/json", json.dump(2) + "\n"};
+}
+
+Admin::Response Edge::calls() const {
+  static const char* const kStates[] = {"deciding", "out", "stands"};
+  const double now = loop_.now();
+  nlohmann::ordered_json all = nlohmann::ordered_json::array();
+  for (const CallDesk::View& each : desk_.calls()) {
+    const auto entry = calls_.find(each.call);
+    nlohmann::ordered_json json{{"call", each.call}, {"state", kStates[static_cast<int>(each.state)]}};
+    if (entry != calls_.end()) {
+      json["session"] = entry->second.record->session_id;
+      json["caller"] = entry->second.record->origin_host;
+      json["called"] = entry->second.record->called;
+    }
+    const list::Entry* server = book_.find(each.server);
+    if (server != nullptr) json["server"] = server->identity;
+    json["attempts"] = each.attempts;
+    json["age_s"] = now - each.since;
+    all.push_back(std::move(json));
+  }
+  return {200, "application/json", all.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"};
+}
+
+}  // namespace mintrock::edge
--- /dev/null
+++ b/src/edge/edge.hpp
@@ -0,0 +1,100 @@
+// The edge proxy: joins fronts, desk, core side, pool list and the other proxies on one loop.
+//
+// Nothing is decided here: events go to the desk, and what it asks for is carried out.
+#ifndef MINTROCK_SRC_EDGE_EDGE_HPP_
+#define MINTROCK_SRC_EDGE_EDGE_HPP_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "edge/admin.hpp"
+#include "edge/call_desk.hpp"
+#include "edge/config.hpp"
+#include "edge/core_side.hpp"
+#include "edge/diameter_front.hpp"
+#include "edge/front.hpp"
+#include "edge/metrics.hpp"
+#include "fleet/hearsay.hpp"
+#include "list/client.hpp"
+#include "list/pool_list.hpp"
+#include "net/loop.hpp"
+
+namespace mintrock::edge {
+
+class Edge : private DeskPorts, private CorePorts, private Switchboard {
+ public:
+  Edge(net::Loop& loop, Config config, std::string config_file);
+  ~Edge() override;
+
+  void start();
+  void reload();  // SIGHUP: what can change safely
+  void drain();   // SIGTERM: no new calls, answers awaited, DPR, then the loop is stopped
+
+ private:
+  struct CallEntry {
+    Front* front = nullptr;
+    RecordPtr record;
+    std::string from_peer;
+  };
+
+  // DeskPorts
+  void answer(CallId call, const Verdict& verdict) override;
+  void cut(CallId call) override;
+  Handover send_setup(CallId call, std::uint32_t attempt, ServerId server, double give_up_after_s) override;
+  void release(CallId call, std::uint32_t attempt, ServerId server) override;
+  void forget(CallId call) override;
+  void subscribe() override;
+  void tell_peer(std::uint32_t peer, const std::vector<Hearsay>& hearsay) override;
+  void log(const std::string& text) override;
+  // CorePorts
+  void core_stood(CallId call, std::uint32_t attempt, const CoreAnswer& answer) override;
+  void core_ended(CallId call, std::uint32_t attempt, const CoreAnswer& answer) override;
+  void core_load(ServerId server, const CoreAnswer& answer) override;
+  void core_event(const std::string& server, const char* event, const std::string& detail) override;
+  // Switchboard
+  CallId next_call() override { return desk_.next_call(); }
+  void offer(Front& front, CallId call, RecordPtr record, const std::string& from_peer) override;
+  bool hang_up(CallId call) override;
+  bool pass_termination(const CallRecord& record, const std::string& from_peer) override;
+  const std::string& identity_of(ServerId server) override;
+
+  void on_list(const list::SseEvent& event);
+  void load_cached_list();
+  void save_list();
+  void on_datagram(std::string_view bytes, net::Address from);
+  void watch_desk();
+  void drained();
+  Admin::Response health() const;
+  Admin::Response calls() const;
+
+  net::Loop& loop_;
+  Config config_;
+  std::string config_file_;
+  std::uint64_t seed_;
+  diameter::LocalNode local_;
+  Metrics metrics_;
+  list::Book book_;
+  CallDesk desk_;
+  CoreSide core_;
+  DiameterFront front_;
+  std::unordered_map<CallId, CallEntry> calls_;
+  std::unique_ptr<list::Client> list_;
+  std::unique_ptr<net::Datagrams> datagrams_;
+  fleet::Writer hearsay_out_;
+  fleet::Reader hearsay_in_;
+  std::unique_ptr<Admin> admin_;
+  net::TimerId desk_timer_ = 0;
+  double desk_timer_at_ = 0;
+  net::TimerId drain_timer_ = 0;
+  bool draining_ = false;
+  bool stopping_ = false;
+  double drain_until_ = 0;
+  bool save_pending_ = false;
+  bool list_fresh_ = false;
+};
+
+}  // namespace mintrock::edge
+
+#endif  // MINTROCK_SRC_EDGE_EDGE_HPP_
--- /dev/null
+++ b/src/edge/metrics.cpp
@@ -0,0 +1,43 @@
+#include "edge/metrics.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/text_serializer.h>
+
+#include <sstream>
+#include <utility>
+
+namespace mintrock::edge {
+
+Metrics::Metrics() {
+  auto& family = prometheus::BuildHistogram()
+                     .Name("mintrock_setup_delay_seconds")
+                     .Help("From a call's offer to its answer that it stands")
+                     .Register(registry_);
+  delay_ = &family.Add({}, prometheus::Histogram::BucketBoundaries{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
+                                                                   0.5, 1, 2, 5, 10});
+}
+
+void Metrics::gauge(const std::string& name, const std::string& help,
+                    const std::map<std::string, std::string>& labels, std::function<double()> value) {
+  auto& gauge = prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add(labels);
+  refresh_.push_back([&gauge, value = std::move(value)] { gauge.Set(value()); });
+}
+
+void Metrics::counter(const std::string& name, const std::string& help,
+                      const std::map<std::string, std::string>& labels, std::function<double()> value) {
+  auto& counter = prometheus::BuildCounter().Name(name).Help(help).Register(registry_).Add(labels);
+  refresh_.push_back([&counter, value = std::move(value)] {
+    const double now = value();
+    if (now > counter.Value()) counter.Increment(now - counter.Value());
+  });
+}
+
+std::string Metrics::text() {
+  for (const auto& each : refresh_) each();
+  std::ostringstream out;
+  prometheus::TextSerializer().Serialize(out, registry_.Collect());
+  return out.str();
+}
+
+}  // namespace mintrock::edge
--- /dev/null
+++ b/src/list/client.cpp
@@ -0,0 +1,81 @@
+#include "list/client.hpp"
+
+#include <utility>
+
+namespace mintrock::list {
+
+Client::Client(net::Loop& loop, net::Address server, std::string path, double reconnect_s, double idle_s,
+               Handlers handlers)
+    : loop_(loop),
+      server_(server),
+      path_(std::move(path)),
+      reconnect_s_(reconnect_s),
+      idle_s_(idle_s),
+      handlers_(std::move(handlers)) {
+  http_parser_settings_init(&settings_);
+  settings_.on_headers_complete = [](http_parser* p) { return p->status_code == 200 ? 0 : -1; };
+  settings_.on_body = [](http_parser* p, const char* at, std::size_t size) {
+    Client& self = *static_cast<Client*>(p->data);
+    self.sse_.feed({at, size}, self.handlers_.on_event);
+    return 0;
+  };
+}
+
+Client::~Client() { close(); }
+
+void Client::open() {
+  if (stream_) return;
+  loop_.timers().cancel(std::exchange(retry_, 0));
+  http_parser_init(&parser_, HTTP_RESPONSE);
+  parser_.data = this;
+  sse_.restart();
+  stream_ = net::Stream::connect(loop_, server_, 1 << 20);
+  stream_->set({[this] {
+                  std::string request = "GET " + path_ + " HTTP/1.1\r\nHost: " + server_.str() +
+                                        "\r\nAccept: text/event-stream\r\nCache-Control: no-store\r\n";
+                  if (!sse_.last_id().empty()) request += "Last-Event-ID: " + sse_.last_id() + "\r\n";
+                  stream_->write(request + "\r\n");
+                },
+                [this](std::string_view bytes) { received(bytes); },
+                [this](const std::string& why) { failed(why); }});
+  note_alive();
+}
+
+void Client::close() {
+  loop_.timers().cancel(std::exchange(retry_, 0));
+  loop_.timers().cancel(std::exchange(idle_, 0));
+  if (stream_) stream_->close();
+  stream_.reset();
+}
+
+void Client::note_alive() {
+  loop_.timers().cancel(idle_);
+  idle_ = loop_.after(idle_s_, [this] {
+    idle_ = 0;
+    failed("nothing heard for " + std::to_string(idle_s_) + " s");
+  });
+}
+
+void Client::received(std::string_view bytes) {
+  note_alive();
+  const std::shared_ptr<net::Stream> stream = stream_;  // a handler may close
+  const std::size_t parsed = http_parser_execute(&parser_, &settings_, bytes.data(), bytes.size());
+  if (stream_ != stream) return;
+  const auto error = HTTP_PARSER_ERRNO(&parser_);
+  if (error != HPE_OK || parsed != bytes.size()) {
+    failed(parser_.status_code != 0 && parser_.status_code != 200
+               ? "answered with status " + std::to_string(parser_.status_code)
+               : std::string("no HTTP: ") + http_errno_description(error));
+  }
+}
+
+void Client::failed(const std::string& why) {
+  close();
+  retry_ = loop_.after(reconnect_s_, [this] {
+    retry_ = 0;
+    open();
+  });
+  handlers_.on_failed(why);
+}
+
+}  // namespace mintrock::list
--- /dev/null
+++ b/src/list/pool_list.cpp
@@ -0,0 +1,170 @@
+#include "list/pool_list.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <stdexcept>
+
+namespace mintrock::list {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMostEntries = 10000;
+
+const char* name(ServerEntry::State state) {
+  switch (state) {
+    case ServerEntry::State::kReady:
+      return "ready";
+    case ServerEntry::State::kDraining:
+      return "draining";
+    case ServerEntry::State::kGone:
+      return "gone";
+  }
+  return "?";
+}
+
+double number(const json& from, const char* key, double otherwise, double most) {
+  const auto found = from.find(key);
+  if (found == from.end()) return otherwise;
+  if (!found->is_number()) throw std::runtime_error(std::string(key) + " is no number");
+  const double value = found->get<double>();
+  if (!std::isfinite(value) || value < 0 || value > most) {
+    throw std::runtime_error(std::string(key) + " is out of range");
+  }
+  return value;
+}
+
+Entry parse_entry(const json& from) {
+  if (!from.is_object()) throw std::runtime_error("not an object");
+  Entry entry;
+  const auto text = [&](const char* key) {
+    const auto found = from.find(key);
+    if (found == from.end() || !found->is_string() || found->get_ref<const std::string&>().empty()) {
+      throw std::runtime_error(std::string(key) + " is missing or no text");
+    }
+    return found->get<std::string>();
+  };
+  entry.identity = text("identity");
+  if (entry.identity.size() > 255) throw std::runtime_error("identity is over 255 bytes");
+  const std::string state = text("state");
+  if (state == "ready") {
+    entry.state = ServerEntry::State::kReady;
+  } else if (state == "draining") {
+    entry.state = ServerEntry::State::kDraining;
+  } else if (state == "gone") {
+    entry.state = ServerEntry::State::kGone;
+  } else {
+    throw std::runtime_error("state '" + state.substr(0, 40) + "' is none of ready, draining, gone");
+  }
+  // One that is gone needs no address.
+  if (entry.state != ServerEntry::State::kGone) entry.address = text("address");
+  const double node = number(from, "node", 0, 4294967295.0);
+  const double kind = number(from, "kind", 0, 4294967295.0);
+  if (node != std::floor(node) || kind != std::floor(kind)) throw std::runtime_error("node or kind is no whole number");
+  entry.node = static_cast<std::uint32_t>(node);
+  entry.kind = static_cast<std::uint32_t>(kind);
+  entry.weight = number(from, "weight", 1, 1e9);
+  entry.started_at = number(from, "started_at", 0, 1e12);
+  return entry;
+}
+
+}  // namespace
+
+News parse_news(const std::string& text) {
+  const json parsed = json::parse(text, nullptr, false);
+  if (!parsed.is_object()) throw std::runtime_error("the list's event is no JSON object");
+  News news;
+  const auto revision = parsed.find("revision");
+  if (revision == parsed.end() || !revision->is_number_unsigned()) {
+    throw std::runtime_error("the list's event has no revision");
+  }
+  news.revision = revision->get<std::uint64_t>();
+  const std::string mode = parsed.value("mode", json("")).is_string() ? parsed.value("mode", "") : "";
+  if (mode != "full" && mode != "delta") throw std::runtime_error("the list's mode is neither full nor delta");
+  news.full = mode == "full";
+  const auto entries = parsed.find("entries");
+  if (entries == parsed.end() || !entries->is_array() || entries->size() > kMostEntries) {
+    throw std::runtime_error("the list's entries are missing, or too many");
+  }
+  std::set<std::string> seen;
+  for (std::size_t i = 0; i < entries->size(); ++i) {
+    try {
+      Entry entry = parse_entry((*entries)[i]);
+      if (!seen.insert(entry.identity).second) throw std::runtime_error("named twice");
+      news.entries.push_back(std::move(entry));
+    } catch (const std::exception& error) {
+      news.faults.push_back("entry " + std::to_string(i) + ": " + error.what());
+    }
+  }
+  return news;
+}
+
+std::string print_news(const News& news) {
+  json entries = json::array();
+  for (const Entry& entry : news.entries) {
+    entries.push_back({{"identity", entry.identity},
+                       {"address", entry.address},
+                       {"node", entry.node},
+                       {"kind", entry.kind},
+                       {"weight", entry.weight},
+                       {"state", name(entry.state)},
+                       {"started_at", entry.started_at}});
+  }
+  return json{{"revision", news.revision}, {"mode", news.full ? "full" : "delta"}, {"entries", entries}}.dump();
+}
+
+bool Book::take(const News& news) {
+  if (news.revision < revision_) return false;
+  revision_ = news.revision;
+  if (news.full) {
+    for (auto& [id, entry] : entries_) entry.state = ServerEntry::State::kGone;
+  }
+  for (const Entry& entry : news.entries) {
+    ServerId& id = numbers_[entry.identity];
+    if (id == 0) id = ++last_;
+    const std::string address = entry.address.empty() ? entries_[id].address : entry.address;
+    entries_[id] = entry;
+    entries_[id].address = address;
+  }
+  return true;
+}
+
+ServerList Book::event(const News& news, ServerList::Mode mode, double now, double wall) {
+  ServerList out;
+  out.mode = mode;
+  for (const Entry& entry : news.entries) {
+    ServerEntry each;
+    each.id = number(entry.identity);
+    each.node = entry.node;
+    each.kind = entry.kind;
+    each.weight = entry.weight;
+    each.state = entry.state;
+    // A start before this machine's clock began counts as long ago; one in the future, as now.
+    if (entry.started_at > 0) each.since = std::max(0.0, std::min(now, now - (wall - entry.started_at)));
+    out.entries.push_back(each);
+  }
+  return out;
+}
+
+const Entry* Book::find(ServerId server) const {
+  const auto found = entries_.find(server);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+ServerId Book::number(const std::string& identity) const {
+  const auto found = numbers_.find(identity);
+  return found == numbers_.end() ? 0 : found->second;
+}
+
+News Book::snapshot() const {
+  News news;
+  news.revision = revision_;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.state != ServerEntry::State::kGone) news.entries.push_back(entry);
+  }
+  return news;
+}
+
+}  // namespace mintrock::list
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,369 @@
+#include "net/loop.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <utility>
+
+namespace mintrock::net {
+namespace {
+
+constexpr std::size_t kReadSize = 65536;
+using DatagramBuffer = std::array<char, 2048>;
+constexpr double kLongestWait = 1.0;  // s; a bound on the loop's sleep, should a timer be missed
+constexpr double kFlushGrace = 1.0;   // s that a closing stream has for its last bytes
+
+double clock_seconds(clockid_t id) {
+  timespec now{};
+  clock_gettime(id, &now);
+  return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) * 1e-9;
+}
+
+sockaddr_in to_sockaddr(const Address& address) {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_addr.s_addr = htonl(address.ip);
+  out.sin_port = htons(address.port);
+  return out;
+}
+
+Address from_sockaddr(const sockaddr_in& in) { return {ntohl(in.sin_addr.s_addr), ntohs(in.sin_port)}; }
+
+Address local_of(int fd) {
+  sockaddr_in in{};
+  socklen_t size = sizeof in;
+  getsockname(fd, reinterpret_cast<sockaddr*>(&in), &size);
+  return from_sockaddr(in);
+}
+
+[[noreturn]] void fail_with(const std::string& what) {
+  throw std::runtime_error(what + ": " + std::strerror(errno));
+}
+
+}  // namespace
+
+std::string Address::str() const {
+  std::array<char, 32> text{};
+  in_addr in{htonl(ip)};
+  inet_ntop(AF_INET, &in, text.data(), text.size());
+  return std::string(text.data()) + ":" + std::to_string(port);
+}
+
+Address parse_address(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  in_addr in{};
+  if (colon == std::string::npos || inet_pton(AF_INET, text.substr(0, colon).c_str(), &in) != 1) {
+    throw std::runtime_error("not an address of the form a.b.c.d:port: '" + text + "'");
+  }
+  const std::string port = text.substr(colon + 1);
+  const bool digits = !port.empty() && port.size() <= 5 && port.find_first_not_of("0123456789") == port.npos;
+  const int value = digits ? std::stoi(port) : -1;
+  if (value < 0 || value > 65535) throw std::runtime_error("not a port: '" + text + "'");
+  return {ntohl(in.s_addr), static_cast<std::uint16_t>(value)};
+}
+
+double monotonic_now() { return clock_seconds(CLOCK_MONOTONIC); }
+double wall_now() { return clock_seconds(CLOCK_REALTIME); }
+
+// ---- Loop ----
+
+struct Loop::SignalWatch {
+  ev_signal watch{};
+  std::function<void()> fn;
+};
+
+Loop::Loop() : loop_(ev_loop_new(EVFLAG_AUTO)) {
+  if (loop_ == nullptr) throw std::runtime_error("no event loop can be made");
+  ev_set_userdata(loop_, this);
+  ev_prepare_init(&prepare_, [](struct ev_loop* raw, ev_prepare*, int) {
+    static_cast<Loop*>(ev_userdata(raw))->before_wait();
+  });
+  ev_prepare_start(loop_, &prepare_);
+  ev_init(&timer_, [](struct ev_loop* raw, ev_timer*, int) {
+    Loop& loop = *static_cast<Loop*>(ev_userdata(raw));
+    loop.timers_.run(loop.now());
+  });
+}
+
+Loop::~Loop() {
+  to_flush_.clear();
+  deferred_.clear();
+  for (const auto& each : signals_) ev_signal_stop(loop_, &each->watch);
+  ev_timer_stop(loop_, &timer_);
+  ev_prepare_stop(loop_, &prepare_);
+  ev_loop_destroy(loop_);
+}
+
+void Loop::run() { ev_run(loop_, 0); }
+void Loop::stop() { ev_break(loop_, EVBREAK_ALL); }
+
+void Loop::on_signal(int signal, std::function<void()> fn) {
+  auto each = std::make_unique<SignalWatch>();
+  each->fn = std::move(fn);
+  ev_signal_init(
+      &each->watch, [](struct ev_loop*, ev_signal* w, int) { static_cast<SignalWatch*>(w->data)->fn(); }, signal);
+  each->watch.data = each.get();
+  ev_signal_start(loop_, &each->watch);
+  signals_.push_back(std::move(each));
+}
+
+void Loop::before_wait() {
+  // What is deferred may write, and a flush that fails may defer: a few rounds settle it, the rest waits for
+  // the next turn, which then comes at once.
+  for (int round = 0; round < 4 && !(deferred_.empty() && to_flush_.empty()); ++round) {
+    for (const auto& fn : std::exchange(deferred_, {})) fn();
+    for (const auto& stream : std::exchange(to_flush_, {})) {
+      stream->flush_queued_ = false;
+      stream->flush();
+    }
+  }
+  const bool more = !deferred_.empty() || !to_flush_.empty();
+  const double wait = more ? 0.0 : std::clamp(timers_.next() - now(), 0.0, kLongestWait);
+  ev_now_update(loop_);
+  ev_timer_stop(loop_, &timer_);
+  ev_timer_set(&timer_, wait, 0.0);
+  ev_timer_start(loop_, &timer_);
+}
+
+// ---- Stream ----
+
+Stream::Stream(Loop& loop, int fd, const Address& remote, std::size_t max_unsent, bool connecting)
+    : loop_(loop), fd_(fd), remote_(remote), max_unsent_(max_unsent), connecting_(connecting) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  ev_init(&io_, [](struct ev_loop*, ev_io* w, int events) {
+    // The handlers may drop the last reference.
+    const std::shared_ptr<Stream> self = static_cast<Stream*>(w->data)->shared_from_this();
+    self->on_event(events);
+  });
+  io_.data = this;
+  arm();
+}
+
+Stream::~Stream() { close(); }
+
+std::shared_ptr<Stream> Stream::connect(Loop& loop, const Address& to, std::size_t max_unsent) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) fail_with("socket");
+  const sockaddr_in address = to_sockaddr(to);
+  const int result = ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  const int error = errno;
+  std::shared_ptr<Stream> stream(new Stream(loop, fd, to, max_unsent, true));
+  if (result != 0 && error != EINPROGRESS) {
+    // Told later, as every other failure is: the caller has not set its handlers yet.
+    loop.defer([weak = std::weak_ptr<Stream>(stream), error] {
+      if (const auto self = weak.lock()) self->fail(std::strerror(error));
+    });
+  }
+  return stream;
+}
+
+std::shared_ptr<Stream> Stream::adopt(Loop& loop, int fd, const Address& from, std::size_t max_unsent) {
+  return std::shared_ptr<Stream>(new Stream(loop, fd, from, max_unsent, false));
+}
+
+Address Stream::local() const { return fd_ >= 0 ? local_of(fd_) : Address{}; }
+
+void Stream::arm() {
+  if (fd_ < 0) return;
+  const bool want_write = connecting_ || (unsent() > 0 && !flush_queued_);
+  const int events = (paused_ || connecting_ ? 0 : EV_READ) | (want_write ? EV_WRITE : 0);
+  if (events == armed_) return;
+  ev_io_stop(loop_.raw(), &io_);
+  armed_ = events;
+  if (events == 0) return;
+  ev_io_set(&io_, fd_, events);
+  ev_io_start(loop_.raw(), &io_);
+}
+
+void Stream::on_event(int events) {
+  if (connecting_) {
+    int error = 0;
+    socklen_t size = sizeof error;
+    getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) return fail(std::strerror(error));
+    connecting_ = false;
+    arm();
+    if (handlers_.on_connected) handlers_.on_connected();
+    return;
+  }
+  if ((events & EV_READ) != 0) {
+    static thread_local std::array<char, kReadSize> buffer;
+    const ssize_t got = ::recv(fd_, buffer.data(), buffer.size(), 0);
+    if (got == 0) return fail("closed by the other side");
+    if (got < 0 && errno != EAGAIN && errno != EINTR) return fail(std::strerror(errno));
+    if (got > 0 && !closing_ && handlers_.on_bytes) {
+      handlers_.on_bytes(std::string_view(buffer.data(), static_cast<std::size_t>(got)));
+    }
+  }
+  if (fd_ >= 0 && (events & EV_WRITE) != 0) flush();
+}
+
+void Stream::write(std::string_view bytes) {
+  if (fd_ < 0 || closing_) return;
+  out_.append(bytes);
+  if (unsent() > max_unsent_) {
+    // A peer that reads nothing: memory is bounded, the connection goes. Not within the writer's call.
+    closing_ = true;
+    loop_.defer([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->fail("the other side doesn't read");
+    });
+    return;
+  }
+  if (flush_queued_ || connecting_) return;
+  flush_queued_ = true;
+  loop_.to_flush_.push_back(shared_from_this());
+}
+
+void Stream::flush() {
+  if (fd_ < 0 || connecting_) return;
+  while (unsent() > 0) {
+    const ssize_t sent = ::send(fd_, out_.data() + out_at_, unsent(), MSG_NOSIGNAL);
+    if (sent < 0) {
+      if (errno == EINTR) continue;
+      if (errno == EAGAIN) break;
+      return fail(std::strerror(errno));
+    }
+    out_at_ += static_cast<std::size_t>(sent);
+  }
+  if (unsent() == 0) {
+    out_.clear();
+    out_at_ = 0;
+    if (closing_ && self_) return close();
+  } else if (out_at_ > kReadSize) {
+    out_.erase(0, out_at_);
+    out_at_ = 0;
+  }
+  arm();
+}
+
+void Stream::fail(const std::string& why) {
+  if (fd_ < 0) return;
+  const auto on_closed = std::move(handlers_.on_closed);
+  close();
+  if (on_closed) on_closed(why);
+}
+
+void Stream::close() {
+  if (fd_ < 0) return;
+  ev_io_stop(loop_.raw(), &io_);
+  ::close(fd_);
+  fd_ = -1;
+  handlers_ = {};
+  loop_.timers().cancel(std::exchange(close_timer_, 0));
+  self_.reset();
+}
+
+void Stream::close_after_flush() {
+  if (fd_ < 0 || self_) return;
+  if (unsent() == 0) return close();
+  closing_ = true;
+  handlers_ = {};
+  self_ = shared_from_this();
+  close_timer_ = loop_.after(kFlushGrace, [this] {
+    close_timer_ = 0;
+    const auto self = self_;
+    close();
+  });
+}
+
+void Stream::reset() {
+  if (fd_ < 0) return;
+  const linger hard{1, 0};
+  setsockopt(fd_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  close();
+}
+
+void Stream::pause_reading(bool paused) {
+  paused_ = paused;
+  arm();
+}
+
+// ---- Listener ----
+
+Listener::Listener(Loop& loop, const Address& at, std::function<void(int, Address)> on_accept)
+    : loop_(loop), on_accept_(std::move(on_accept)) {
+  fd_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd_ < 0) fail_with("socket");
+  const int on = 1;
+  setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  const sockaddr_in address = to_sockaddr(at);
+  if (bind(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 || listen(fd_, 1024) != 0) {
+    const int error = errno;
+    ::close(fd_);
+    errno = error;
+    fail_with("cannot listen on " + at.str());
+  }
+  local_ = local_of(fd_);
+  ev_init(&io_, [](struct ev_loop*, ev_io* w, int) {
+      Listener& self = *static_cast<Listener*>(w->data);
+      for (int i = 0; i < 64; ++i) {  // the rest in the next turn
+        sockaddr_in from{};
+        socklen_t size = sizeof from;
+        const int fd = accept4(self.fd_, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) return;
+        self.on_accept_(fd, from_sockaddr(from));
+      }
+    });
+  ev_io_set(&io_, fd_, EV_READ);
+  io_.data = this;
+  ev_io_start(loop_.raw(), &io_);
+}
+
+Listener::~Listener() {
+  ev_io_stop(loop_.raw(), &io_);
+  ::close(fd_);
+}
+
+// ---- Datagrams ----
+
+Datagrams::Datagrams(Loop& loop, const Address& at, std::function<void(std::string_view, Address)> on_datagram)
+    : loop_(loop), on_datagram_(std::move(on_datagram)) {
+  fd_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd_ < 0) fail_with("socket");
+  const sockaddr_in address = to_sockaddr(at);
+  if (bind(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+    const int error = errno;
+    ::close(fd_);
+    errno = error;
+    fail_with("cannot bind " + at.str());
+  }
+  local_ = local_of(fd_);
+  ev_init(&io_, [](struct ev_loop*, ev_io* w, int) {
+      Datagrams& self = *static_cast<Datagrams*>(w->data);
+      DatagramBuffer buffer;
+      for (int i = 0; i < 64; ++i) {
+        sockaddr_in from{};
+        socklen_t size = sizeof from;
+        const ssize_t got = recvfrom(self.fd_, buffer.data(), buffer.size(), MSG_TRUNC,
+                                     reinterpret_cast<sockaddr*>(&from), &size);
+        if (got < 0) return;
+        if (static_cast<std::size_t>(got) > buffer.size()) continue;  // longer than any of ours
+        self.on_datagram_(std::string_view(buffer.data(), static_cast<std::size_t>(got)), from_sockaddr(from));
+      }
+    });
+  ev_io_set(&io_, fd_, EV_READ);
+  io_.data = this;
+  ev_io_start(loop_.raw(), &io_);
+}
+
+Datagrams::~Datagrams() {
+  ev_io_stop(loop_.raw(), &io_);
+  ::close(fd_);
+}
+
+void Datagrams::send(std::string_view bytes, const Address& to) {
+  const sockaddr_in address = to_sockaddr(to);
+  sendto(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+}
+
+}  // namespace mintrock::net
--- /dev/null
+++ b/src/net/loop.hpp
@@ -0,0 +1,151 @@
+// The event loop (libev) of one thread: timers, signals, streams, listeners and datagrams on loopback sockets.
+//
+// Writes are gathered and go out once a turn, just before the loop waits: many messages, one system call.
+#ifndef MINTROCK_SRC_NET_LOOP_HPP_
+#define MINTROCK_SRC_NET_LOOP_HPP_
+
+#include <ev.h>
+#include <netinet/in.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/timers.hpp"
+
+namespace mintrock::net {
+
+// An IPv4 endpoint.
+struct Address {
+  std::uint32_t ip = 0x7F000001;  // host order
+  std::uint16_t port = 0;
+  std::string str() const;
+  bool operator==(const Address& other) const { return ip == other.ip && port == other.port; }
+};
+
+// Reads "a.b.c.d:port"; throws std::runtime_error naming the text.
+Address parse_address(const std::string& text);
+
+// Seconds on CLOCK_MONOTONIC, the same for all processes of the machine.
+double monotonic_now();
+// Seconds since the Unix epoch.
+double wall_now();
+
+class Stream;
+
+class Loop {
+ public:
+  Loop();
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  void run();   // until stop()
+  void stop();
+  double now() const { return monotonic_now(); }
+  Timers& timers() { return timers_; }
+  TimerId after(double seconds, std::function<void()> fn) { return timers_.at(now() + seconds, std::move(fn)); }
+  // Calls `fn` at the end of this turn: for what must not happen inside a callback of its own object.
+  void defer(std::function<void()> fn) { deferred_.push_back(std::move(fn)); }
+  void on_signal(int signal, std::function<void()> fn);
+  struct ev_loop* raw() { return loop_; }
+
+ private:
+  friend class Stream;
+  void before_wait();
+  struct SignalWatch;
+  struct ev_loop* loop_;
+  ev_prepare prepare_;
+  ev_timer timer_;
+  Timers timers_;
+  std::vector<std::function<void()>> deferred_;
+  std::vector<std::shared_ptr<Stream>> to_flush_;
+  std::vector<std::unique_ptr<SignalWatch>> signals_;
+};
+
+// One TCP connection. After on_closed, or after close(), no callback comes any more.
+class Stream : public std::enable_shared_from_this<Stream> {
+ public:
+  struct Handlers {
+    std::function<void()> on_connected;                // outgoing ones only
+    std::function<void(std::string_view)> on_bytes;
+    std::function<void(const std::string& why)> on_closed;  // refused, closed by the other side, or a fault
+  };
+
+  // `max_unsent`: bytes that may wait for a peer that doesn't read; with more, the connection is closed.
+  static std::shared_ptr<Stream> connect(Loop& loop, const Address& to, std::size_t max_unsent);
+  static std::shared_ptr<Stream> adopt(Loop& loop, int fd, const Address& from, std::size_t max_unsent);
+  ~Stream();
+
+  void set(Handlers handlers) { handlers_ = std::move(handlers); }
+  void write(std::string_view bytes);
+  void close();                // at once; what was not sent is lost
+  void close_after_flush();    // once what was written has gone, or after a second
+  // Closes with a reset, as a process that dies does.
+  void reset();
+  bool is_open() const { return fd_ >= 0; }
+  std::size_t unsent() const { return out_.size() - out_at_; }
+  const Address& remote() const { return remote_; }
+  Address local() const;
+  void pause_reading(bool paused);
+
+ private:
+  friend class Loop;
+  Stream(Loop& loop, int fd, const Address& remote, std::size_t max_unsent, bool connecting);
+  void arm();
+  void on_event(int events);
+  void flush();
+  void fail(const std::string& why);
+  Loop& loop_;
+  int fd_;
+  Address remote_;
+  std::size_t max_unsent_;
+  bool connecting_;
+  bool flush_queued_ = false;
+  bool closing_ = false;
+  bool paused_ = false;
+  int armed_ = 0;
+  ev_io io_;
+  Handlers handlers_;
+  std::string out_;
+  std::size_t out_at_ = 0;
+  TimerId close_timer_ = 0;
+  std::shared_ptr<Stream> self_;  // while a last flush is awaited
+};
+
+class Listener {
+ public:
+  // Binds and listens; throws std::runtime_error naming the address. Port 0: any free one.
+  Listener(Loop& loop, const Address& at, std::function<void(int fd, Address from)> on_accept);
+  ~Listener();
+  Address local() const { return local_; }
+
+ private:
+  Loop& loop_;
+  int fd_;
+  Address local_;
+  ev_io io_;
+  std::function<void(int, Address)> on_accept_;
+};
+
+class Datagrams {
+ public:
+  Datagrams(Loop& loop, const Address& at, std::function<void(std::string_view, Address from)> on_datagram);
+  ~Datagrams();
+  void send(std::string_view bytes, const Address& to);  // may be lost
+  Address local() const { return local_; }
+
+ private:
+  Loop& loop_;
+  int fd_;
+  Address local_;
+  ev_io io_;
+  std::function<void(std::string_view, Address)> on_datagram_;
+};
+
+}  // namespace mintrock::net
+
+#endif  // MINTROCK_SRC_NET_LOOP_HPP_
