mintrock-lab: stand-ins, scripted runs and a checker that reads traces alone; tests of each part

Need: the five rules are to be shown from what passed on the sockets. Change: src/lab has core servers with one processor and a script of faults, the pool list, callers, a runner with one process a part, traces in protobuf, the checker, a pcap writer. Tests of desk, list, messages, configuration, loop, checker (each rule caught on a doctored trace). Found and mended on the first run: a stream's handler was destroyed while it ran (test: AHandlerMayCloseItsStream).

--- a/src/edge/core_side.cpp
+++ b/src/edge/core_side.cpp
@@ -180,14 +180,33 @@
 }
 
 void CoreSide::send_release(Server& server, const RecordPtr& record, const std::string& from_peer) {
-  if (!server.link || !server.link->peer().open()) return;  // what it held goes with the connection
+  if (!server.link || !server.link->peer().open()) return owe(server, record, from_peer);
   diameter::Peer& peer = server.link->peer();
   const std::uint32_t hop = peer.next_hop_by_hop();
   server.link->send(write_termination(*record, server.entry.identity, from_peer, hop, peer.next_end_to_end()));
-  server.pending[hop] = {record->session_id, 0, 0, true, true, 0, nullptr, {}};
+  server.pending[hop] = {record->session_id, 0, 0, true, true, 0, record, from_peer};
   linger(server, hop);
 }
 
+// Sessions outlive connections (RFC 6733 section 8). A release that met no connection, or whose answer was lost
+// with one, would leave its lines taken for good at a server that only lost its connection.
+void CoreSide::owe(Server& server, RecordPtr record, const std::string& from_peer) {
+  const double now = loop_.now();
+  while (!server.owed.empty() && (server.owed.front().until <= now || server.owed.size() >= kMostLingering)) {
+    server.owed.pop_front();
+  }
+  server.owed.push_back({std::move(record), from_peer, now + config_.core.linger_s});
+}
+
+// Before anything new goes out: a session may be set up again under its old name.
+void CoreSide::pay(Server& server, bool same_process) {
+  const double now = loop_.now();
+  for (const Owed& each : std::exchange(server.owed, {})) {
+    if (!same_process || each.until <= now || server.legs.count(each.record->session_id) != 0) continue;
+    send_release(server, each.record, each.from_peer);
+  }
+}
+
 // Answers that nobody waits for are known for a while, and not more than a bound of them.
 void CoreSide::linger(Server& server, std::uint32_t hop) {
   const double now = loop_.now();
@@ -214,7 +233,9 @@
   loop_.timers().cancel(std::exchange(server.hold_timer, 0));
   server.lost = false;
   const std::uint32_t state = server.link->peer().peer_origin_state();
-  if (state != std::exchange(server.origin_state, state)) cut_standing(server);  // another process: all is lost
+  const bool same_process = state == std::exchange(server.origin_state, state);
+  pay(server, same_process);
+  if (!same_process) cut_standing(server);  // what it held is lost
   const double now = loop_.now();
   for (Queued& each : std::exchange(server.queued, {})) {
     if (server.entry.state != ServerEntry::State::kReady) {
@@ -230,6 +251,7 @@
   server.lingering.clear();
   std::vector<std::pair<CallId, std::uint32_t>> cut;
   for (const auto& [hop, each] : std::exchange(server.pending, {})) {
+    owe(server, each.record, each.from_peer);  // it may stand there all the same: its answer may be lost
     if (each.given_up) continue;
     server.legs.erase(each.session);
     cut.emplace_back(each.call, each.attempt);
--- a/src/edge/core_side.hpp
+++ b/src/edge/core_side.hpp
@@ -94,6 +94,11 @@
     RecordPtr record;
     std::string from_peer;
   };
+  struct Owed {
+    RecordPtr record;
+    std::string from_peer;
+    double until = 0;
+  };
   struct Server {
     ServerId id = 0;
     list::Entry entry;
@@ -102,6 +107,8 @@
     std::unordered_map<std::uint32_t, Pending> pending;
     std::deque<std::pair<double, std::uint32_t>> lingering;  // pending ones that expire, in order
     std::deque<Queued> queued;
+    // Releases that could not be sent, or may be lost: owed to the same process once it is back.
+    std::deque<Owed> owed;
     net::TimerId queue_timer = 0;
     net::TimerId hold_timer = 0;
     std::uint32_t origin_state = 0;  // of the connection that is, or last was, up
@@ -114,6 +121,8 @@
   void transmit(Server& server, CallId call, std::uint32_t attempt, double give_up_after_s, RecordPtr record,
                 const std::string& from_peer);
   void send_release(Server& server, const RecordPtr& record, const std::string& from_peer);
+  void owe(Server& server, RecordPtr record, const std::string& from_peer);
+  void pay(Server& server, bool same_process);
   void linger(Server& server, std::uint32_t hop_by_hop);
   void on_up(Server& server);
   void on_down(Server& server, const std::string& why);
--- /dev/null
+++ b/src/lab/checker.hpp
@@ -0,0 +1,60 @@
+// The five rules, judged from traces alone: what passed on the stand-ins' sockets, never what a proxy says of
+// itself.
+//
+// Pure: records in, a report out.
+#ifndef MINTROCK_SRC_LAB_CHECKER_HPP_
+#define MINTROCK_SRC_LAB_CHECKER_HPP_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "lab/scenario.hpp"
+#include "trace.pb.h"
+
+namespace mintrock::lab {
+
+struct RuleVerdict {
+  std::string name;
+  std::uint64_t checked = 0;         // how many times there was something to check
+  std::uint64_t broken = 0;
+  std::vector<std::string> examples;  // the first few breaks
+  double worst = 0;                  // how near to the limit: 1 is at it, over 1 beyond
+  std::string worst_text;
+};
+
+struct ClassCounts {
+  std::uint64_t offered = 0;  // callers' wishes
+  std::uint64_t tries = 0;
+  std::uint64_t stood = 0;    // tries, by answer
+  std::uint64_t refused = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t abandoned = 0;   // the caller hung up before the answer
+  std::uint64_t connection = 0;  // the connection was lost before the answer
+  std::uint64_t cut = 0;         // stood, then cut
+  double served = 0;             // worth that stood within its aim and was not cut, over worth offered
+};
+
+struct CheckReport {
+  std::vector<RuleVerdict> rules;
+  std::map<std::string, ClassCounts> classes;
+  std::vector<double> service;  // a share for each 5 s, by the first try
+  std::uint64_t tries = 0;
+  std::uint64_t unaccounted = 0;  // tries without an end of any kind
+  std::uint64_t attempts = 0;     // set-ups that reached core servers
+  std::uint64_t left_behind = 0;  // sessions that a core server holds at the end, of callers who were told
+  std::uint64_t orphaned = 0;     // and of callers whose proxy was gone before it could tell
+  double delay_p50 = 0, delay_p99 = 0;  // s, of those that stood
+  std::map<std::string, std::uint64_t> troubles;  // what went wrong, by kind
+  bool good() const;
+  std::string json() const;
+  std::string table() const;
+};
+
+// `records` of all stand-ins, in any order.
+CheckReport check_traces(const Scenario& scenario, std::vector<v1::Record> records);
+
+}  // namespace mintrock::lab
+
+#endif  // MINTROCK_SRC_LAB_CHECKER_HPP_
--- /dev/null
+++ b/src/lab/line.cpp
@@ -0,0 +1,104 @@
+#include "lab/line.hpp"
+
+#include <utility>
+
+#include "diameter/dictionary.hpp"
+#include "lab/scenario.hpp"
+
+namespace mintrock::lab {
+
+Line::Line(net::Loop& loop, std::shared_ptr<net::Stream> stream, TraceWriter& trace, std::string who,
+           std::uint64_t number, Handlers handlers)
+    : loop_(loop),
+      stream_(std::move(stream)),
+      trace_(trace),
+      who_(std::move(who)),
+      number_(number),
+      framer_(1 << 20),
+      handlers_(std::move(handlers)) {
+  local_port_ = stream_->local().port;
+  remote_port_ = stream_->remote().port;
+  net::Stream::Handlers to;
+  to.on_connected = [this] {
+    local_port_ = stream_->local().port;
+    record(v1::Record::OPENED, true, {}, "");
+    if (handlers_.on_open) handlers_.on_open();
+  };
+  to.on_bytes = [this](std::string_view bytes) {
+    const std::shared_ptr<bool> alive = alive_;
+    framer_.feed(bytes);
+    std::string_view frame;
+    while (*alive && framer_.next(frame) == diameter::Framer::Status::kFrame) {
+      record(v1::Record::FRAME, false, frame, "");
+      diameter::MessageView view;
+      if (!diameter::decode(frame, view)) handlers_.on_message(view);
+    }
+  };
+  to.on_closed = [this](const std::string& why) {
+    record(v1::Record::CLOSED, false, {}, why);
+    if (handlers_.on_closed) handlers_.on_closed(why);
+  };
+  stream_->set(std::move(to));
+}
+
+Line::~Line() {
+  *alive_ = false;
+  if (stream_->is_open()) close();
+}
+
+void Line::record(v1::Record::Kind kind, bool outgoing, std::string_view frame, const std::string& text) {
+  v1::Record out;
+  out.set_time(loop_.now());
+  out.set_kind(kind);
+  out.set_who(who_);
+  out.set_with(with);
+  out.set_outgoing(outgoing);
+  out.set_frame(frame.data(), frame.size());
+  out.set_text(text);
+  out.set_local_port(local_port_);
+  out.set_remote_port(remote_port_);
+  out.set_connection(number_);
+  trace_.write(out);
+}
+
+void Line::send(const std::string& frame) {
+  if (!stream_->is_open()) return;
+  record(v1::Record::FRAME, true, frame, "");
+  stream_->write(frame);
+}
+
+void Line::reset() {
+  if (!stream_->is_open()) return;
+  record(v1::Record::CLOSED, true, {}, "reset");
+  stream_->reset();
+}
+
+void Line::close() {
+  if (!stream_->is_open()) return;
+  record(v1::Record::CLOSED, true, {}, "closed");
+  stream_->close_after_flush();
+}
+
+void write_capabilities(diameter::Builder& builder, const std::string& host, std::uint32_t origin_state) {
+  namespace avp = diameter::avp;
+  builder.text(avp::kOriginHost, host)
+      .text(avp::kOriginRealm, kRealm)
+      .ipv4(avp::kHostIpAddress, 0x7F000001)
+      .u32(avp::kVendorId, diameter::kVendorOwn)
+      .text(avp::kProductName, "mintrock-lab")
+      .u32(avp::kOriginStateId, origin_state)
+      .u32(avp::kAuthApplicationId, diameter::kApplicationCreditControl);
+}
+
+void write_note(TraceWriter& trace, double time, const std::string& who, const std::string& with,
+                const std::string& json) {
+  v1::Record out;
+  out.set_time(time);
+  out.set_kind(v1::Record::NOTE);
+  out.set_who(who);
+  out.set_with(with);
+  out.set_text(json);
+  trace.write(out);
+}
+
+}  // namespace mintrock::lab
--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,86 @@
+// mintrock-lab: stand-ins, runs, checks. One program, one subcommand for each tool.
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+#include <CLI/CLI.hpp>
+
+#include "lab/checker.hpp"
+#include "lab/parts.hpp"
+#include "lab/trace.hpp"
+
+namespace {
+
+namespace fs = std::filesystem;
+namespace lab = mintrock::lab;
+
+std::vector<lab::v1::Record> read_all(const std::string& dir) {
+  std::vector<lab::v1::Record> records;
+  for (const auto& entry : fs::directory_iterator(dir)) {
+    if (entry.path().extension() != ".trace") continue;
+    auto part = lab::read_trace(entry.path().string());
+    std::move(part.begin(), part.end(), std::back_inserter(records));
+  }
+  return records;
+}
+
+// The edge program stands beside this one, unless told otherwise.
+std::string beside(const char* name) {
+  return (fs::read_symlink("/proc/self/exe").parent_path() / name).string();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  CLI::App app{"mintrock-lab: stand-ins for all that surrounds mintrock-edge, runs of whole scenarios, checks"};
+  app.require_subcommand(1);
+  int status = 0;
+
+  std::string scenario, dir;
+  const auto part = [&](const char* name, const char* what, int (*run)(const lab::Scenario&, const std::string&)) {
+    CLI::App* sub = app.add_subcommand(name, what);
+    sub->add_option("--scenario", scenario, "the scenario, a YAML file")->required();
+    sub->add_option("--dir", dir, "the run's folder, with its run.json")->required();
+    sub->callback([&, run] { status = run(lab::load_scenario(scenario), dir); });
+  };
+  part("core", "core servers of a run", lab::run_cores);
+  part("list", "the pool list of a run", lab::run_list);
+  part("call", "the callers of a run", lab::run_callers);
+
+  lab::RunOptions options;
+  CLI::App* run = app.add_subcommand("run", "plays a scenario through real proxies and checks the rules");
+  run->add_option("scenario", options.scenario_file, "the scenario, a YAML file")->required();
+  run->add_option("--report", options.report, "write the report there, as JSON");
+  run->add_option("--trace", options.trace_dir, "keep traces and logs in this folder");
+  run->add_option("--edge", options.edge_program, "the mintrock-edge to run; the one beside this program if not told");
+  run->callback([&] {
+    if (options.edge_program.empty()) options.edge_program = beside("mintrock-edge");
+    status = lab::run_all(options);
+  });
+
+  std::string pcap, report;
+  CLI::App* check = app.add_subcommand("check", "checks the rules on the traces of a run");
+  check->add_option("dir", dir, "the run's folder")->required();
+  check->add_option("--report", report, "write the report there, as JSON");
+  check->add_option("--pcap", pcap, "write the frames there as a capture file");
+  check->callback([&] {
+    auto records = read_all(dir);
+    if (!pcap.empty()) std::printf("%zu frames in %s\n", lab::write_pcap(records, pcap), pcap.c_str());
+    const lab::CheckReport out = lab::check_traces(lab::load_scenario(dir + "/scenario.yaml"), std::move(records));
+    std::fputs(out.table().c_str(), stdout);
+    if (!report.empty()) std::ofstream(report) << out.json() << "\n";
+    status = out.good() ? 0 : 1;
+  });
+
+  try {
+    CLI11_PARSE(app, argc, argv);
+    return status;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "mintrock-lab: %s\n", error.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/lab/scenario.cpp
@@ -0,0 +1,150 @@
+#include "lab/scenario.hpp"
+
+#include <algorithm>
+
+#include "config/yaml.hpp"
+
+namespace mintrock::lab {
+namespace {
+
+constexpr double kDay = 86400;
+
+struct KindName {
+  Event::Kind kind;
+  const char* name;
+  char target;  // c: core server, p: proxy, l: caller, -: none
+};
+constexpr KindName kKinds[] = {
+    {Event::Kind::kSurge, "surge", '-'},
+    {Event::Kind::kSwallow, "swallow", 'c'},
+    {Event::Kind::kSlow, "slow", 'c'},
+    {Event::Kind::kPause, "pause", 'c'},
+    {Event::Kind::kCrash, "crash", 'c'},
+    {Event::Kind::kRefuse, "refuse", 'c'},
+    {Event::Kind::kReset, "reset", 'c'},
+    {Event::Kind::kLoseAnswers, "lose_answers", 'c'},
+    {Event::Kind::kLateAnswers, "late_answers", 'c'},
+    {Event::Kind::kGarbage, "garbage", 'c'},
+    {Event::Kind::kStrayAnswer, "stray_answer", 'c'},
+    {Event::Kind::kDoubleAnswers, "double_answers", 'c'},
+    {Event::Kind::kWatchdogSilent, "watchdog_silent", '*'},
+    {Event::Kind::kDrain, "drain", 'c'},
+    {Event::Kind::kKillProxy, "kill_proxy", 'p'},
+    {Event::Kind::kTermProxy, "term_proxy", 'p'},
+    {Event::Kind::kCallerLost, "caller_lost", 'l'},
+    {Event::Kind::kListDown, "list_down", '-'},
+};
+
+void read_event(config::Section& from, Scenario& out) {
+  Event event;
+  std::vector<std::string> names;
+  for (const KindName& each : kKinds) names.emplace_back(each.name);
+  std::size_t kind = 0;
+  from.require("kind");
+  from.read_choice("kind", names, kind);
+  event.kind = kKinds[kind].kind;
+  from.require("at");
+  from.read_time("at", event.at_s, 0, kDay);
+  from.read_time("for", event.for_s, 0, kDay);
+  from.read("factor", event.factor, 0.01, 1000);
+  from.read("share", event.share, 0, 1);
+  from.read_time("by", event.by_s, 0, kDay);
+  const char target = kKinds[kind].target;
+  event.to_caller = target == 'l' || (target == '*' && from.has("caller"));
+  if (target == 'c' || (target == '*' && !event.to_caller)) {
+    from.require("core");
+    from.read("core", event.target, 0, out.cores - 1);
+  } else if (target == 'p') {
+    from.require("proxy");
+    from.read("proxy", event.target, 0, out.proxies - 1);
+  } else if (event.to_caller) {
+    from.require("caller");
+    from.read("caller", event.target, 0, out.callers - 1);
+  }
+  if (event.at_s > out.duration_s) from.fail("at", "is after the end");
+  out.events.push_back(event);
+}
+
+void read_class(config::Section& from, Scenario& out) {
+  Scenario::Class each;
+  from.require("name");
+  from.read("name", each.name);
+  from.require("service_identifier");
+  from.read("service_identifier", each.service_identifier, 0, 0xFFFFFFFFu);
+  from.read("share", each.share, 0, 1e6);
+  from.read_time("hold", each.hold_s, 0.001, kDay);
+  from.require("aim");
+  from.read_time("aim", each.told.aim_s, 0.001, kDay);
+  from.require("deadline");
+  from.read_time("deadline", each.told.deadline_s, 0.001, kDay);
+  from.read("value", each.told.value, 0, 1e9);
+  std::size_t effect = 0;
+  from.read_choice("effect", {"repeatable", "by_key", "once"}, effect);
+  each.told.effect = static_cast<Effect>(effect);
+  out.classes.push_back(each);
+}
+
+}  // namespace
+
+const char* name(Event::Kind kind) {
+  for (const KindName& each : kKinds) {
+    if (each.kind == kind) return each.name;
+  }
+  return "?";
+}
+
+Scenario load_scenario(const std::string& file) {
+  config::Section top = config::load(file);
+  Scenario out;
+  top.require("name");
+  top.read("name", out.name);
+  top.read("seed", out.seed, 0, 0xFFFFFFFFu);
+  top.read_time("duration", out.duration_s, 1, kDay);
+  top.read("proxies", out.proxies, 1, 64);
+  top.read("callers", out.callers, 1, 1000);
+  top.read("cores", out.cores, 1, 64);
+  top.section("load", [&](config::Section& from) {
+    from.read("rate", out.rate, 0.1, 1e6);
+    from.read_time("patience", out.patience_s, 0.05, kDay);
+    from.read("redials", out.redials, 0, 100);
+    from.read_time("redial_after", out.redial_after_s, 0.01, kDay);
+    from.read("abandon", out.abandon_share, 0, 1);
+  });
+  top.section("processor", [&](config::Section& from) {
+    from.read_time("setup_work", out.setup_work_s, 0, 10);
+    from.read_time("release_work", out.release_work_s, 0, 10);
+    from.read_time("full_after", out.full_after_s, 0.01, kDay);
+    from.read_time("reports_every", out.reports_every_s, 0, kDay);
+  });
+  top.section("rules", [&](config::Section& from) {
+    Settings& s = out.rules;
+    from.read_time("release_wait", s.release_wait_s, 0, kDay);
+    from.read("start_capacity", s.start_capacity, 0.001, 1);
+    from.read_time("warm_up", s.warm_up_s, 0, kDay);
+    from.read("overload_factor", s.overload_factor, 0.001, 1000);
+    from.read_time("fall_time", s.fall_s, 0.001, kDay);
+    from.read("attempt_limit", s.attempt_limit, 1, 100);
+    from.read_time("max_retry_after", s.max_retry_after_s, 0, kDay);
+    from.read("cancel", s.can_cancel);
+    from.read("callers_mark_redials", s.marks_redials);
+    from.read_time("drain_grace", out.drain_grace_s, 0, kDay);
+  });
+  top.read_time("list_delay", out.list_delay_s, 0, kDay);
+  top.read_time("watchdog_interval", out.watchdog_s, 6, kDay);
+  top.read("core_watchdog", out.core_watchdog);
+  top.read("log_level", out.log_level);
+  top.require("classes");
+  top.sections("classes", [&](config::Section& from) { read_class(from, out); });
+  if (out.classes.empty()) top.fail("classes", "is empty");
+  top.sections("events", [&](config::Section& from) { read_event(from, out); });
+  top.finish();
+  std::stable_sort(out.events.begin(), out.events.end(),
+                   [](const Event& a, const Event& b) { return a.at_s < b.at_s; });
+  return out;
+}
+
+std::string core_name(std::uint32_t number) { return "core-" + std::to_string(number) + "." + kRealm; }
+std::string proxy_name(std::uint32_t number) { return "edge-" + std::to_string(number) + "." + kRealm; }
+std::string caller_name(std::uint32_t number) { return "dock-" + std::to_string(number) + "." + kRealm; }
+
+}  // namespace mintrock::lab
--- a/src/list/sse.hpp
+++ b/src/list/sse.hpp
@@ -51,8 +51,8 @@
 
  private:
   void end_line(const std::function<void(const SseEvent&)>& on_event) {
-    const std::string line = std::move(line_);
-    line_.clear();
+    std::string line;
+    line.swap(line_);
     if (line.empty()) {
       if (too_long_) {
         dropped_ += 1;
@@ -64,7 +64,7 @@
       has_data_ = too_long_ = false;
       return;
     }
-    if (line[0] == ':') return;  // a comment keeps the connection alive
+    if (line.front() == ':') return;  // a comment keeps the connection alive
     const std::size_t colon = line.find(':');
     const std::string field = line.substr(0, colon);
     std::string value = colon == std::string::npos ? "" : line.substr(colon + 1);
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -186,6 +186,7 @@
 }
 
 void Stream::on_event(int events) {
+  const std::shared_ptr<const Handlers> handlers = handlers_;
   if (connecting_) {
     int error = 0;
     socklen_t size = sizeof error;
@@ -193,7 +194,7 @@
     if (error != 0) return fail(std::strerror(error));
     connecting_ = false;
     arm();
-    if (handlers_.on_connected) handlers_.on_connected();
+    if (handlers && handlers->on_connected) handlers->on_connected();
     return;
   }
   if ((events & EV_READ) != 0) {
@@ -201,8 +202,8 @@
     const ssize_t got = ::recv(fd_, buffer.data(), buffer.size(), 0);
     if (got == 0) return fail("closed by the other side");
     if (got < 0 && errno != EAGAIN && errno != EINTR) return fail(std::strerror(errno));
-    if (got > 0 && !closing_ && handlers_.on_bytes) {
-      handlers_.on_bytes(std::string_view(buffer.data(), static_cast<std::size_t>(got)));
+    if (got > 0 && !closing_ && handlers && handlers->on_bytes) {
+      handlers->on_bytes(std::string_view(buffer.data(), static_cast<std::size_t>(got)));
     }
   }
   if (fd_ >= 0 && (events & EV_WRITE) != 0) flush();
@@ -248,9 +249,9 @@
 
 void Stream::fail(const std::string& why) {
   if (fd_ < 0) return;
-  const auto on_closed = std::move(handlers_.on_closed);
+  const std::shared_ptr<const Handlers> handlers = handlers_;
   close();
-  if (on_closed) on_closed(why);
+  if (handlers && handlers->on_closed) handlers->on_closed(why);
 }
 
 void Stream::close() {
@@ -258,7 +259,7 @@
   ev_io_stop(loop_.raw(), &io_);
   ::close(fd_);
   fd_ = -1;
-  handlers_ = {};
+  handlers_.reset();
   loop_.timers().cancel(std::exchange(close_timer_, 0));
   self_.reset();
 }
@@ -267,7 +268,7 @@
   if (fd_ < 0 || self_) return;
   if (unsent() == 0) return close();
   closing_ = true;
-  handlers_ = {};
+  handlers_.reset();
   self_ = shared_from_this();
   close_timer_ = loop_.after(kFlushGrace, [this] {
     close_timer_ = 0;
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -80,7 +80,7 @@
   static std::shared_ptr<Stream> adopt(Loop& loop, int fd, const Address& from, std::size_t max_unsent);
   ~Stream();
 
-  void set(Handlers handlers) { handlers_ = std::move(handlers); }
+  void set(Handlers handlers) { handlers_ = std::make_shared<const Handlers>(std::move(handlers)); }
   void write(std::string_view bytes);
   void close();                // at once; what was not sent is lost
   void close_after_flush();    // once what was written has gone, or after a second
@@ -109,7 +109,8 @@
   bool paused_ = false;
   int armed_ = 0;
   ev_io io_;
-  Handlers handlers_;
+  // A handler may close its stream, or set others, while it runs: who calls one holds them meanwhile.
+  std::shared_ptr<const Handlers> handlers_;
   std::string out_;
   std::size_t out_at_ = 0;
   TimerId close_timer_ = 0;
--- /dev/null
+++ b/tests/edge/config_test.cpp
@@ -0,0 +1,97 @@
+#include "edge/config.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+#include "config/yaml.hpp"
+
+namespace mintrock::edge {
+namespace {
+
+constexpr const char* kGood = R"(node: {identity: edge-1.test, realm: test, listen: "127.0.0.1:3868", admin: "127.0.0.1:8080"}
+list: {server: "127.0.0.1:9000"}
+classes:
+  - {name: a, service_identifier: 1, aim: 1200ms, deadline: 9s, value: 2}
+  - {name: b, service_identifier: 7, aim: 2s, deadline: 9s, effect: once}
+)";
+
+struct File {
+  explicit File(const std::string& text)
+      : path(std::string(::testing::TempDir()) + "config-" + std::to_string(getpid()) + ".yaml") {
+    std::ofstream(path) << text;
+  }
+  ~File() { std::remove(path.c_str()); }
+  std::string path;
+};
+
+// What is wrong with it, without the file's folder.
+std::string fault(const std::string& text) {
+  const File file(text);
+  try {
+    load_config(file.path);
+    return "good";
+  } catch (const config::Error& error) {
+    const std::string what = error.what();
+    EXPECT_EQ(what.find('\n'), std::string::npos);
+    return what.substr(what.rfind(".yaml") + 5);
+  }
+}
+
+std::string with(const std::string& extra) { return kGood + extra; }
+
+TEST(EdgeConfig, IsRead) {
+  const File file(with("rules: {release_wait: 500ms, overload_factor: 3}\nfleet: {size: 2, own_number: 1}\n"));
+  const Config config = load_config(file.path);
+  EXPECT_EQ(config.settings.classes.size(), 2u);
+  EXPECT_EQ(config.settings.classes[0].aim_s, 1.2);
+  EXPECT_EQ(config.settings.classes[1].effect, Effect::kOnce);
+  EXPECT_EQ(config.class_of_service.at(7), 1u);
+  EXPECT_EQ(config.settings.release_wait_s, 0.5);
+  EXPECT_EQ(config.settings.own_number, 1u);
+  EXPECT_FALSE(config.core.watchdog) << "no probes unless they are allowed";
+}
+
+TEST(EdgeConfig, EveryFaultNamesFileLineAndKey) {
+  EXPECT_EQ(fault(kGood), "good");
+  EXPECT_EQ(fault(with("limts: {calls: 5}\n")), ":6: limts is not known; the nearest is limits");
+  EXPECT_EQ(fault(with("core: {recconect: 1s}\n")), ":6: core.recconect is not known; the nearest is core.reconnect");
+  EXPECT_EQ(fault(with("core: {reconnect: 5}\n")), ":6: core.reconnect: '5' has no unit (ms, s, m, h)");
+  EXPECT_EQ(fault(with("core: {watchdog_interval: 5s}\n")),
+            ":6: core.watchdog_interval: 5s is not within 6s to 86400s");
+  EXPECT_EQ(fault(with("core: {watchdog: maybe}\n")), ":6: core.watchdog: 'maybe' is neither true nor false");
+  EXPECT_EQ(fault(with("fleet: {size: 2, own_number: 2}\n")), ":6: fleet.own_number: is not below the size");
+  EXPECT_EQ(fault(with("fleet: {size: 2, peers: [\"127.0.0.1:1\"]}\n")), ":6: fleet.peers: are not as many as the size");
+  EXPECT_EQ(fault(with("limits: {calls: 1.5}\n")), ":6: limits.calls: is no whole number");
+  EXPECT_EQ(fault(with("limits: {calls: .inf}\n")), ":6: limits.calls: '.inf' is no number");
+  EXPECT_EQ(fault(with("node: {}\n")), ":6: node stands twice");
+  EXPECT_EQ(fault("node: [1]\n"), ":1: node. is no mapping");
+  EXPECT_EQ(fault("a: b: c\n").substr(0, 3), ":1:");
+  EXPECT_EQ(fault(""), ": node: is missing");
+  std::string text = kGood;
+  text.replace(text.find("127.0.0.1:3868"), 14, "127.0.0.1:99999");
+  EXPECT_EQ(fault(text), ":1: node.listen: not a port: '127.0.0.1:99999'");
+  text = kGood;
+  text.replace(text.find("service_identifier: 7"), 21, "service_identifier: 1");
+  EXPECT_EQ(fault(text), ":5: classes[1].service_identifier: 1 names another class already");
+}
+
+TEST(EdgeConfig, ReloadTellsWhatNeedsARestart) {
+  const File file(kGood);
+  const Config before = load_config(file.path);
+  Config after = before;
+  after.max_calls = 5;
+  after.callers.peers = {"x"};
+  after.log.level = "debug";
+  EXPECT_TRUE(needs_restart(before, after).empty());
+  after.settings.classes[0].aim_s = 3;
+  after.settings.release_wait_s = 7;
+  after.node.listen.port = 1;
+  EXPECT_EQ(needs_restart(before, after), (std::vector<std::string>{"node", "classes", "rules"}));
+}
+
+}  // namespace
+}  // namespace mintrock::edge
--- /dev/null
+++ b/tests/lab/checker_test.cpp
@@ -0,0 +1,248 @@
+// The checker must catch each broken rule: a good trace is doctored in one place, and that rule, and no other,
+// must be found broken.
+#include "lab/checker.hpp"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "diameter/dictionary.hpp"
+#include "edge/credit_control.hpp"
+#include "lab/trace.hpp"
+#include "list/pool_list.hpp"
+
+namespace mintrock::lab {
+namespace {
+
+namespace avp = diameter::avp;
+
+struct Story {
+  Scenario scenario;
+  std::vector<v1::Record> records;
+
+  Story() {
+    scenario.cores = 2;
+    scenario.patience_s = 3;
+    scenario.rules.release_wait_s = 0.5;
+    scenario.rules.start_capacity = 0.25;
+    scenario.rules.warm_up_s = 10;
+    scenario.rules.overload_factor = 2;
+    scenario.rules.fall_s = 2;
+    Scenario::Class c;
+    c.name = "a";
+    c.service_identifier = 1;
+    c.told.aim_s = 1;
+    scenario.classes = {c};
+  }
+
+  v1::Record& add(double time, v1::Record::Kind kind, const std::string& who, const std::string& with, bool outgoing) {
+    v1::Record r;
+    r.set_time(time);
+    r.set_kind(kind);
+    r.set_who(who);
+    r.set_with(with);
+    r.set_outgoing(outgoing);
+    r.set_connection(1);
+    records.push_back(r);
+    return records.back();
+  }
+  static std::string ccr(const std::string& session, std::uint32_t type) {
+    diameter::Header header;
+    header.flags = diameter::kRequest | diameter::kProxiable;
+    header.command = diameter::kCreditControl;
+    header.application = 4;
+    diameter::Builder b(header);
+    b.text(avp::kSessionId, session).u32(avp::kCcRequestType, type).u32(avp::kServiceIdentifier, 1);
+    return b.finish();
+  }
+  static std::string cca(const std::string& session, std::uint32_t result) {
+    diameter::Header header;
+    header.command = diameter::kCreditControl;
+    header.application = 4;
+    diameter::Builder b(header);
+    b.text(avp::kSessionId, session).u32(avp::kResultCode, result).u32(avp::kCcRequestType, 1);
+    return b.finish();
+  }
+  void caller(double time, const std::string& frame, bool outgoing) {
+    add(time, v1::Record::FRAME, "dock-0.lab.test", "edge-0.lab.test", outgoing).set_frame(frame);
+  }
+  void core(double time, int number, const std::string& frame, bool outgoing) {
+    add(time, v1::Record::FRAME, core_name(static_cast<std::uint32_t>(number)), "edge-0.lab.test", outgoing)
+        .set_frame(frame);
+  }
+  void note(double time, const std::string& who, const nlohmann::json& text) {
+    add(time, v1::Record::NOTE, who, "", false).set_text(text.dump());
+  }
+  void list(double time, int number, ServerEntry::State state) {
+    list::News news;
+    news.revision = static_cast<std::uint64_t>(time * 1000);
+    news.full = false;
+    news.entries = {{core_name(static_cast<std::uint32_t>(number)), "127.0.0.1:1", 0, 0, 1, state}};
+    add(time, v1::Record::LIST, "list", "edge-0.lab.test", true).set_text(list::print_news(news));
+  }
+  // A call that stands at core 0 and is ended.
+  void good_call(const std::string& session, double at) {
+    caller(at, ccr(session, 1), true);
+    core(at + 0.001, 0, ccr(session, 1), false);
+    core(at + 0.02, 0, cca(session, 2001), true);
+    caller(at + 0.021, cca(session, 2001), false);
+    caller(at + 1, ccr(session, 3), true);
+    core(at + 1.001, 0, ccr(session, 3), false);
+  }
+  CheckReport check() const { return check_traces(scenario, records); }
+  // The only rule that is broken, or what else is the matter.
+  std::string broken() const {
+    const CheckReport report = check();
+    std::string out;
+    for (const RuleVerdict& each : report.rules) {
+      if (each.broken > 0) out += (out.empty() ? "" : ", ") + each.name;
+    }
+    EXPECT_EQ(report.good(), out.empty() && report.left_behind == 0);
+    return out;
+  }
+};
+
+TEST(Checker, AGoodStoryIsGood) {
+  Story s;
+  s.good_call("dock-0;1;1", 10);
+  s.good_call("dock-0;2;1", 12);
+  EXPECT_EQ(s.broken(), "");
+  const CheckReport report = s.check();
+  EXPECT_TRUE(report.good());
+  EXPECT_EQ(report.classes.at("a").stood, 2u);
+  EXPECT_EQ(report.classes.at("a").served, 1.0);
+}
+
+TEST(Checker, NothingAtAllIsNotGood) { EXPECT_FALSE(Story().check().good()); }
+
+TEST(Checker, ACallWithoutAnswerIsCaught) {
+  Story s;
+  s.good_call("dock-0;1;1", 10);
+  s.caller(20, Story::ccr("dock-0;2;1", 1), true);
+  EXPECT_EQ(s.broken(), "one answer");
+  // Unless its connection was lost: nobody could be told.
+  s.add(21, v1::Record::CLOSED, "dock-0.lab.test", "edge-0.lab.test", false);
+  EXPECT_EQ(s.broken(), "");
+}
+
+TEST(Checker, TwoAnswersAreCaught) {
+  Story s;
+  s.good_call("dock-0;1;1", 10);
+  s.caller(10.5, Story::cca("dock-0;1;1", 2001), false);
+  EXPECT_EQ(s.broken(), "one answer");
+}
+
+TEST(Checker, ALateAnswerIsCaught) {
+  Story s;
+  s.caller(10, Story::ccr("dock-0;1;1", 1), true);
+  s.caller(13.1, Story::cca("dock-0;1;1", 3004), false);
+  EXPECT_EQ(s.broken(), "one answer");
+}
+
+TEST(Checker, ASetupAfterTheFinalAnswerIsCaught) {
+  Story s;
+  s.caller(10, Story::ccr("dock-0;1;1", 1), true);
+  s.caller(10.5, Story::cca("dock-0;1;1", 3004), false);
+  s.core(10.6, 0, Story::ccr("dock-0;1;1", 1), false);
+  s.core(10.7, 0, Story::cca("dock-0;1;1", 3004), true);
+  EXPECT_EQ(s.broken(), "one answer");
+}
+
+TEST(Checker, TwoAttemptsOutAreCaught) {
+  Story s;
+  const std::string id = "dock-0;1;1";
+  s.caller(10, Story::ccr(id, 1), true);
+  s.core(10.001, 0, Story::ccr(id, 1), false);
+  s.core(10.1, 1, Story::ccr(id, 1), false);
+  s.core(10.2, 0, Story::cca(id, 3004), true);
+  s.core(10.3, 1, Story::cca(id, 3004), true);
+  s.caller(10.4, Story::cca(id, 3004), false);
+  EXPECT_EQ(s.broken(), "one attempt");
+}
+
+TEST(Checker, ASetupToADrainedServerIsCaught) {
+  Story s;
+  s.list(9, 0, ServerEntry::State::kDraining);
+  s.good_call("dock-0;1;1", 9.2);
+  EXPECT_EQ(s.broken(), "") << "within the grace";
+  s.good_call("dock-0;2;1", 9.3);
+  EXPECT_EQ(s.broken(), "drains kept");
+}
+
+TEST(Checker, ARestartedProxyHasBeenToldNothing) {
+  Story s;
+  s.list(9, 0, ServerEntry::State::kDraining);
+  s.note(9.5, "edge-0.lab.test", {{"event", "proxy_started"}});
+  s.good_call("dock-0;1;1", 9.6);
+  EXPECT_EQ(s.broken(), "");
+  s.list(11, 0, ServerEntry::State::kDraining);
+  s.good_call("dock-0;2;1", 11.3);
+  EXPECT_EQ(s.broken(), "drains kept");
+}
+
+TEST(Checker, AColdServerPushedOverIsCaught) {
+  // 0.25 of 20 a second, twice that for 2 s, while it gains: 25 set-ups.
+  Story s;
+  s.note(9, core_name(0), {{"event", "start"}, {"cold", true}, {"capacity", 20.0}});
+  for (int i = 0; i < 25; ++i) s.good_call("dock-0;" + std::to_string(i) + ";1", 9.1 + i * 0.01);
+  EXPECT_EQ(s.broken(), "");
+  EXPECT_GT(s.check().rules[3].worst, 0.9);
+  for (int i = 25; i < 30; ++i) s.good_call("dock-0;" + std::to_string(i) + ";1", 9.1 + i * 0.01);
+  EXPECT_EQ(s.broken(), "cold not pushed over");
+}
+
+TEST(Checker, AReleaseNotAwaitedIsCaught) {
+  for (const double wait : {0.51, 0.3}) {
+    Story s;
+    const std::string id = "dock-0;1;1";
+    s.caller(10, Story::ccr(id, 1), true);
+    s.core(10.001, 0, Story::ccr(id, 1), false);
+    s.core(11, 0, Story::ccr(id, 3), false);  // given up
+    s.core(11 + wait, 1, Story::ccr(id, 1), false);
+    s.core(11.8, 1, Story::cca(id, 2001), true);
+    s.caller(11.9, Story::cca(id, 2001), false);
+    s.core(12, 1, Story::ccr(id, 3), false);
+    EXPECT_EQ(s.broken(), wait > 0.5 ? "" : "release awaited");
+  }
+}
+
+TEST(Checker, AResetNotAwaitedIsCaught) {
+  Story s;
+  const std::string id = "dock-0;1;1";
+  s.caller(10, Story::ccr(id, 1), true);
+  s.core(10.001, 0, Story::ccr(id, 1), false);
+  s.add(10.1, v1::Record::CLOSED, core_name(0), "edge-0.lab.test", true);
+  s.core(10.2, 1, Story::ccr(id, 1), false);
+  s.core(10.3, 1, Story::cca(id, 3004), true);
+  s.caller(10.4, Story::cca(id, 3004), false);
+  EXPECT_EQ(s.broken(), "release awaited");
+}
+
+TEST(Checker, ASessionLeftBehindIsNotGood) {
+  Story s;
+  s.good_call("dock-0;1;1", 10);
+  s.records.pop_back();  // its end never reached the core server
+  const CheckReport report = s.check();
+  EXPECT_EQ(report.left_behind, 1u);
+  EXPECT_FALSE(report.good());
+}
+
+TEST(Trace, IsReadBackAndACutEndIsLeftOut) {
+  const std::string path = ::testing::TempDir() + "trace-test.trace";
+  Story s;
+  s.good_call("dock-0;1;1", 10);
+  {
+    TraceWriter writer(path);
+    for (const auto& each : s.records) writer.write(each);
+  }
+  EXPECT_EQ(read_trace(path).size(), s.records.size());
+  std::ifstream in(path, std::ios::binary);
+  std::string bytes((std::istreambuf_iterator<char>(in)), {});
+  std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes.substr(0, bytes.size() - 3);
+  EXPECT_EQ(read_trace(path).size(), s.records.size() - 1);
+  std::remove(path.c_str());
+  EXPECT_THROW(read_trace(path), std::runtime_error);
+}
+
+}  // namespace
+}  // namespace mintrock::lab
--- /dev/null
+++ b/tests/list/list_test.cpp
@@ -0,0 +1,106 @@
+#include <gtest/gtest.h>
+
+#include <stdexcept>
+
+#include "list/pool_list.hpp"
+#include "list/sse.hpp"
+
+namespace mintrock::list {
+namespace {
+
+TEST(Sse, EventsComeOutWholeHoweverTheStreamIsCut) {
+  const std::string stream = ": hello\r\nid: 7\r\nevent: list\r\ndata: a\r\ndata: b\r\n\r\ndata:c\n\n";
+  for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+    SseParser parser;
+    std::vector<SseEvent> events;
+    const auto take = [&](const SseEvent& e) { events.push_back(e); };
+    parser.feed(std::string_view(stream).substr(0, cut), take);
+    parser.feed(std::string_view(stream).substr(cut), take);
+    ASSERT_EQ(events.size(), 2u) << cut;
+    EXPECT_EQ(events[0].id, "7");
+    EXPECT_EQ(events[0].type, "list");
+    EXPECT_EQ(events[0].data, "a\nb");
+    EXPECT_EQ(events[1].data, "c");
+    EXPECT_EQ(events[1].type, "message");
+  }
+}
+
+TEST(Sse, AnEventWithoutEndIsBounded) {
+  SseParser parser(1000);
+  int events = 0;
+  const auto take = [&](const SseEvent&) { events += 1; };
+  for (int i = 0; i < 100; ++i) parser.feed("data: " + std::string(500, 'x') + "\n", take);
+  parser.feed("\n", take);
+  EXPECT_EQ(events, 0);
+  EXPECT_EQ(parser.dropped(), 1u);
+  parser.feed("data: fine\n\n", take);
+  EXPECT_EQ(events, 1);
+}
+
+TEST(PoolList, BrokenEntriesAreNamedAndTheRestStands) {
+  const News news = parse_news(
+      R"({"revision":3,"mode":"full","entries":[
+        {"identity":"a","address":"127.0.0.1:1","state":"ready","node":2},
+        {"identity":"b","address":"127.0.0.1:1","state":"sleepy"},
+        {"identity":"c","state":"ready"},
+        {"address":"127.0.0.1:1","state":"ready"},
+        {"identity":"a","address":"127.0.0.1:1","state":"ready"},
+        {"identity":"d","address":"127.0.0.1:1","state":"ready","weight":-1},
+        {"identity":"e","state":"gone"}]})");
+  ASSERT_EQ(news.entries.size(), 2u);
+  EXPECT_EQ(news.entries[0].node, 2u);
+  EXPECT_EQ(news.faults.size(), 5u);
+  EXPECT_EQ(news.faults[0], "entry 1: state 'sleepy' is none of ready, draining, gone");
+}
+
+TEST(PoolList, TextThatIsNoListThrows) {
+  for (const char* bad : {"", "x", "[]", "{}", R"({"revision":1})", R"({"revision":1,"mode":"half","entries":[]})",
+                          R"({"revision":-1,"mode":"full","entries":[]})", R"({"revision":1,"mode":"full"})",
+                          R"({"revision":1,"mode":3,"entries":[]})"}) {
+    EXPECT_THROW(parse_news(bad), std::runtime_error) << bad;
+  }
+}
+
+TEST(Book, KeepsNumbersAndIgnoresOldNews) {
+  Book book;
+  News news;
+  news.revision = 5;
+  news.entries = {{"a", "127.0.0.1:1"}, {"b", "127.0.0.1:2"}};
+  EXPECT_TRUE(book.take(news));
+  const ServerId a = book.number("a");
+  EXPECT_NE(a, 0u);
+  News drained;
+  drained.revision = 6;
+  drained.full = false;
+  drained.entries = {{"a", "", 0, 0, 1, ServerEntry::State::kDraining}};
+  EXPECT_TRUE(book.take(drained));
+  EXPECT_EQ(book.find(a)->state, ServerEntry::State::kDraining);
+  EXPECT_EQ(book.find(a)->address, "127.0.0.1:1") << "an address that is not told again stands";
+  EXPECT_FALSE(book.take(news)) << "older than what is known";
+  EXPECT_EQ(book.find(a)->state, ServerEntry::State::kDraining);
+  News full;
+  full.revision = 7;
+  full.entries = {{"b", "127.0.0.1:2"}};
+  EXPECT_TRUE(book.take(full));
+  EXPECT_EQ(book.find(a)->state, ServerEntry::State::kGone) << "not in a whole list: gone";
+  EXPECT_EQ(book.number("a"), a);
+  EXPECT_EQ(parse_news(print_news(book.snapshot())).entries.size(), 1u);
+}
+
+// The list tells starts by the wall clock; decisions run on a clock that only goes forward.
+TEST(Book, StartsAreTurnedIntoTheMonotonicClock) {
+  Book book;
+  News news;
+  news.revision = 1;
+  news.entries = {{"a", "x"}, {"b", "x"}, {"c", "x"}};
+  news.entries[1].started_at = 1000;
+  news.entries[2].started_at = 5000;
+  book.take(news);
+  const ServerList list = book.event(news, ServerList::Mode::kFull, 200, 1030);
+  EXPECT_EQ(list.entries[0].since, 0) << "long ago";
+  EXPECT_EQ(list.entries[1].since, 170);
+  EXPECT_EQ(list.entries[2].since, 200) << "no start in the future";
+}
+
+}  // namespace
+}  // namespace mintrock::list
--- /dev/null
+++ b/tests/net/loop_test.cpp
@@ -0,0 +1,106 @@
+#include "net/loop.hpp"
+
+#include <gtest/gtest.h>
+
+#include <stdexcept>
+
+namespace mintrock::net {
+namespace {
+
+struct Pair {
+  Loop loop;
+  std::shared_ptr<Stream> client, server;
+  std::unique_ptr<Listener> listener;
+  explicit Pair(std::size_t max_unsent = 1 << 20) {
+    listener = std::make_unique<Listener>(loop, Address{}, [this, max_unsent](int fd, Address from) {
+      server = Stream::adopt(loop, fd, from, max_unsent);
+      loop.stop();
+    });
+    client = Stream::connect(loop, listener->local(), 1 << 20);
+    loop.run();
+  }
+};
+
+TEST(Addresses, AreReadAndRejected) {
+  EXPECT_EQ(parse_address("127.0.0.1:3868").str(), "127.0.0.1:3868");
+  for (const char* bad : {"", "1.2.3.4", "1.2.3.4:", "1.2.3.4:65536", "1.2.3.4:-1", "host:1", "1.2.3.4:1x"}) {
+    EXPECT_THROW(parse_address(bad), std::runtime_error) << bad;
+  }
+}
+
+TEST(Streams, CarryBytesBothWays) {
+  Pair pair;
+  std::string got;
+  pair.server->set({{}, [&](std::string_view bytes) { pair.server->write("<" + std::string(bytes) + ">"); }, {}});
+  pair.client->set({{}, [&](std::string_view bytes) {
+                      got += bytes;
+                      pair.loop.stop();
+                    }, {}});
+  pair.client->write("abc");
+  pair.loop.run();
+  EXPECT_EQ(got, "<abc>");
+}
+
+// Guards against unbounded memory: a peer that reads nothing is closed once its bound is passed.
+TEST(Streams, APeerThatReadsNothingIsClosed) {
+  Pair pair(100000);
+  std::string why;
+  pair.client->pause_reading(true);
+  pair.server->set({{}, {}, [&](const std::string& reason) {
+                      why = reason;
+                      pair.loop.stop();
+                    }});
+  std::size_t most = 0;
+  std::function<void()> more = [&] {
+    pair.server->write(std::string(50000, 'x'));
+    most = std::max(most, pair.server->unsent());
+    if (pair.server->is_open()) pair.loop.defer(more);
+  };
+  more();
+  pair.loop.run();
+  EXPECT_EQ(why, "the other side doesn't read");
+  EXPECT_LE(most, 150000u);
+}
+
+// A handler that closes its own stream, or sets other handlers, goes on with what it captured.
+TEST(Streams, AHandlerMayCloseItsStream) {
+  Pair pair;
+  std::string seen;
+  const std::string captured = "captured, and long enough to live on the heap";
+  pair.server->set({{}, [&, captured](std::string_view) {
+                      pair.server->close();
+                      seen = captured;
+                      pair.loop.stop();
+                    }, {}});
+  pair.client->write("x");
+  pair.loop.run();
+  EXPECT_EQ(seen, captured);
+}
+
+TEST(Streams, ARefusedConnectionIsTold) {
+  Loop loop;
+  Address nobody;
+  { nobody = Listener(loop, Address{}, [](int, Address) {}).local(); }
+  std::string why;
+  const auto stream = Stream::connect(loop, nobody, 1000);
+  stream->set({{}, {}, [&](const std::string& reason) {
+                 why = reason;
+                 loop.stop();
+               }});
+  loop.run();
+  EXPECT_EQ(why, "Connection refused");
+}
+
+TEST(Streams, WhatWasWrittenLastStillGoesOut) {
+  Pair pair;
+  std::string got;
+  pair.client->set({{}, [&](std::string_view bytes) { got += bytes; }, [&](const std::string&) { pair.loop.stop(); }});
+  pair.server->write("last words");
+  pair.server->close_after_flush();
+  pair.server.reset();
+  pair.loop.run();
+  EXPECT_EQ(got, "last words");
+}
+
+}  // namespace
+}  // namespace mintrock::net
--- /dev/null
+++ b/tests/net/timers_test.cpp
@@ -0,0 +1,62 @@
+#include "net/timers.hpp"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace mintrock::net {
+namespace {
+
+TEST(Timers, FireInOrderAndOnce) {
+  Timers timers;
+  std::vector<int> fired;
+  timers.at(2, [&] { fired.push_back(2); });
+  timers.at(1, [&] { fired.push_back(1); });
+  timers.at(1, [&] { fired.push_back(11); });
+  EXPECT_EQ(timers.next(), 1);
+  timers.run(0.5);
+  EXPECT_TRUE(fired.empty());
+  timers.run(5);
+  timers.run(6);
+  EXPECT_EQ(fired, (std::vector<int>{1, 11, 2}));
+}
+
+// Cancelled timers must not pile up: a call that is answered at once leaves none behind.
+TEST(Timers, ACancelledOneIsGoneAtOnce) {
+  Timers timers;
+  for (int i = 0; i < 1000; ++i) {
+    const TimerId id = timers.at(1e6 + i, [] {});
+    EXPECT_TRUE(timers.cancel(id));
+    EXPECT_FALSE(timers.cancel(id));
+  }
+  EXPECT_EQ(timers.size(), 0u);
+  EXPECT_FALSE(timers.cancel(0));
+}
+
+// A timer that sets itself anew for now must not hold the loop.
+TEST(Timers, OneThatSetsItselfAnewWaitsForTheNextRun) {
+  Timers timers;
+  int fired = 0;
+  std::function<void()> again = [&] {
+    fired += 1;
+    timers.at(0, again);
+  };
+  timers.at(0, again);
+  timers.run(1);
+  EXPECT_EQ(fired, 1);
+  timers.run(1);
+  EXPECT_EQ(fired, 2);
+}
+
+TEST(Timers, OneMayCancelAnotherThatIsDueInTheSameRun) {
+  Timers timers;
+  bool second = false;
+  TimerId id = 0;
+  timers.at(1, [&] { timers.cancel(id); });
+  id = timers.at(1, [&] { second = true; });
+  timers.run(2);
+  EXPECT_FALSE(second);
+}
+
+}  // namespace
+}  // namespace mintrock::net
