--- a/src/diameter/peer.cpp
+++ b/src/diameter/peer.cpp
@@ -234,7 +234,7 @@
   if (was_open) sink_.down(why);
 }
 
-void Peer::closed(Link link, double now) {
+void Peer::closed(Link link, double now, const std::string& why) {
   if (!live(link)) return;
   (link == Link::kInitiated ? initiated_ : accepted_) = false;
   switch (state_) {
@@ -255,7 +255,7 @@
     case State::kROpen:
     case State::kIOpen:
     case State::kClosing:
-      if (link == link_) fall(state_ == State::kClosing ? "disconnected" : "connection lost", now);
+      if (link == link_) fall(state_ == State::kClosing ? "disconnected" : why, now);
       return;
     default:
       return;
--- a/src/diameter/peer.hpp
+++ b/src/diameter/peer.hpp
@@ -98,7 +98,7 @@
   void connected(double now);            // our connection stands
   void connect_failed(double now);
   void received(Link link, std::string_view bytes, double now);
-  void closed(Link link, double now);    // the other side closed, or a fault of the transport
+  void closed(Link link, double now, const std::string& why = "connection lost");  // by the other side, or a fault
   void stop(DisconnectCause cause, double now);  // DPR, then close; no reconnection after it
   void tick(double now);                 // call when `deadline` has passed
   double deadline() const;
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -75,7 +75,7 @@
     if (!current()) return;
     stream(link).reset();
     if (*connected) {
-      peer_.closed(link, loop_.now());
+      peer_.closed(link, loop_.now(), why);
     } else {
       peer_.connect_failed(loop_.now());
       if (handlers_.refused) handlers_.refused(why);
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -97,6 +97,7 @@
 Loop::~Loop() {
   to_flush_.clear();
   deferred_.clear();
+  for (const auto& stream : std::exchange(last_flushes_, {})) stream->close();
   for (const auto& each : signals_) ev_signal_stop(loop_, &each->watch);
   ev_timer_stop(loop_, &timer_);
   ev_prepare_stop(loop_, &prepare_);
@@ -212,6 +213,8 @@
 void Stream::write(std::string_view bytes) {
   if (fd_ < 0 || closing_) return;
   out_.append(bytes);
+  // Much may be written in one turn to a peer that reads well: the bound is for what the system won't take.
+  if (unsent() > max_unsent_ && !connecting_) push();
   if (unsent() > max_unsent_) {
     // A peer that reads nothing: memory is bounded, the connection goes. Not within the writer's call.
     closing_ = true;
@@ -225,25 +228,28 @@
   loop_.to_flush_.push_back(shared_from_this());
 }
 
-void Stream::flush() {
-  if (fd_ < 0 || connecting_) return;
+bool Stream::push() {
   while (unsent() > 0) {
     const ssize_t sent = ::send(fd_, out_.data() + out_at_, unsent(), MSG_NOSIGNAL);
-    if (sent < 0) {
-      if (errno == EINTR) continue;
-      if (errno == EAGAIN) break;
-      return fail(std::strerror(errno));
-    }
+    if (sent < 0 && errno == EINTR) continue;
+    if (sent < 0 && errno == EAGAIN) break;
+    if (sent < 0) return false;
     out_at_ += static_cast<std::size_t>(sent);
   }
   if (unsent() == 0) {
     out_.clear();
     out_at_ = 0;
-    if (closing_ && self_) return close();
   } else if (out_at_ > kReadSize) {
     out_.erase(0, out_at_);
     out_at_ = 0;
   }
+  return true;
+}
+
+void Stream::flush() {
+  if (fd_ < 0 || connecting_) return;
+  if (!push()) return fail(std::strerror(errno));
+  if (unsent() == 0 && last_flush_) return close();
   arm();
 }
 
@@ -261,19 +267,21 @@
   fd_ = -1;
   handlers_.reset();
   loop_.timers().cancel(std::exchange(close_timer_, 0));
-  self_.reset();
+  if (last_flush_) {
+    last_flush_ = false;
+    loop_.last_flushes_.erase(shared_from_this());
+  }
 }
 
 void Stream::close_after_flush() {
-  if (fd_ < 0 || self_) return;
+  if (fd_ < 0 || last_flush_) return;
   if (unsent() == 0) return close();
   closing_ = true;
   handlers_.reset();
-  self_ = shared_from_this();
-  close_timer_ = loop_.after(kFlushGrace, [this] {
-    close_timer_ = 0;
-    const auto self = self_;
-    close();
+  last_flush_ = true;
+  loop_.last_flushes_.insert(shared_from_this());
+  close_timer_ = loop_.after(kFlushGrace, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->close();
   });
 }
 
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,6 +64,7 @@
   Timers timers_;
   std::vector<std::function<void()>> deferred_;
   std::vector<std::shared_ptr<Stream>> to_flush_;
+  std::set<std::shared_ptr<Stream>> last_flushes_;  // of streams that nobody else keeps any more
   std::vector<std::unique_ptr<SignalWatch>> signals_;
 };
 
@@ -97,6 +99,7 @@
   Stream(Loop& loop, int fd, const Address& remote, std::size_t max_unsent, bool connecting);
   void arm();
   void on_event(int events);
+  bool push();  // to the system, as much as it takes; false: a fault, in errno
   void flush();
   void fail(const std::string& why);
   Loop& loop_;
@@ -106,6 +109,7 @@
   bool connecting_;
   bool flush_queued_ = false;
   bool closing_ = false;
+  bool last_flush_ = false;  // the loop keeps this stream until what was written has gone
   bool paused_ = false;
   int armed_ = 0;
   ev_io io_;
@@ -114,7 +118,6 @@
   std::string out_;
   std::size_t out_at_ = 0;
   TimerId close_timer_ = 0;
-  std::shared_ptr<Stream> self_;  // while a last flush is awaited
 };
 
 class Listener {
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -342,6 +342,7 @@
   });
   connect();
   // Each is answered with an error: more and more that it doesn't read, until the sockets' buffers are full.
+  caller.lines.back()->stream().pause_reading(true);
   std::uint32_t sent = 0;
   Node other(loop, "dock-2.test");
   wait([&] {
--- a/tests/net/loop_test.cpp
+++ b/tests/net/loop_test.cpp
@@ -62,6 +62,25 @@
   EXPECT_LE(most, 150000u);
 }
 
+// The bound is for what the system won't take, not for what is written in one turn to a peer that reads.
+TEST(Streams, MuchInOneTurnIsNoPeerThatReadsNothing) {
+  Pair pair(1000);
+  std::size_t got = 0;
+  std::string why;
+  pair.client->set({{}, [&](std::string_view bytes) {
+                      got += bytes.size();
+                      if (got == 50000) pair.loop.stop();
+                    }, {}});
+  pair.server->set({{}, {}, [&](const std::string& reason) {
+                      why = reason;
+                      pair.loop.stop();
+                    }});
+  for (int i = 0; i < 100; ++i) pair.server->write(std::string(500, 'x'));
+  pair.loop.run();
+  EXPECT_EQ(why, "");
+  EXPECT_EQ(got, 50000u);
+}
+
 // A handler that closes its own stream, or sets other handlers, goes on with what it captured.
 TEST(Streams, AHandlerMayCloseItsStream) {
   Pair pair;
