--- a/src/config/yaml.hpp
+++ b/src/config/yaml.hpp
@@ -1,5 +1,5 @@
-// YAML settings, every key checked: types, ranges and units; unknown keys are rejected with file, line and the
-// nearest known name.
+// YAML settings, every key checked: types, ranges and units; unknown keys are rejected with file, line and
+// the nearest known name.
 #ifndef MINTROCK_SRC_CONFIG_YAML_HPP_
 #define MINTROCK_SRC_CONFIG_YAML_HPP_
 
--- a/src/diameter/codec.hpp
+++ b/src/diameter/codec.hpp
@@ -1,7 +1,7 @@
 // Diameter messages as bytes (RFC 6733 sections 3 and 4): framing, decoding into views, building.
 //
-// Pure: bytes in, bytes out. A MessageView points into the frame that it was decoded from and lives no longer.
-// Nothing here allocates by a length that the other side named.
+// Pure: bytes in, bytes out. A MessageView points into the frame that it was decoded from and lives no
+// longer. Nothing here allocates by a length that the other side named.
 #ifndef MINTROCK_SRC_DIAMETER_CODEC_HPP_
 #define MINTROCK_SRC_DIAMETER_CODEC_HPP_
 
--- a/src/diameter/dictionary.cpp
+++ b/src/diameter/dictionary.cpp
@@ -8,22 +8,50 @@
 namespace mintrock::diameter {
 namespace {
 
-constexpr AvpDef kAll[] = {
-    avp::kCalledStationId,  avp::kHostIpAddress,       avp::kAuthApplicationId,
-    avp::kAcctApplicationId, avp::kVendorSpecificApplicationId, avp::kSessionId,
-    avp::kOriginHost,       avp::kSupportedVendorId,   avp::kVendorId,
-    avp::kFirmwareRevision, avp::kResultCode,          avp::kProductName,
-    avp::kDisconnectCause,  avp::kOriginStateId,       avp::kFailedAvp,
-    avp::kProxyHost,        avp::kErrorMessage,        avp::kRouteRecord,
-    avp::kDestinationRealm, avp::kProxyInfo,           avp::kDestinationHost,
-    avp::kErrorReportingHost, avp::kTerminationCause,  avp::kOriginRealm,
-    avp::kInbandSecurityId, avp::kProxyState,          avp::kCcRequestNumber,
-    avp::kCcRequestType,    avp::kServiceIdentifier,   avp::kServiceContextId,
-    avp::kSourceId,         avp::kLoad,                avp::kLoadType,
-    avp::kLoadValue,        avp::kMaximumWaitTime,     avp::kServerLoad,
-    avp::kProcessorWait,    avp::kQueueLength,         avp::kSpareLines,
-    avp::kTotalLines,       avp::kRetryAfter,          avp::kRedialIndicator,
-    avp::kLinesRequired,    avp::kRefusalCause};
+constexpr AvpDef kAll[] = {avp::kCalledStationId,
+                           avp::kHostIpAddress,
+                           avp::kAuthApplicationId,
+                           avp::kAcctApplicationId,
+                           avp::kVendorSpecificApplicationId,
+                           avp::kSessionId,
+                           avp::kOriginHost,
+                           avp::kSupportedVendorId,
+                           avp::kVendorId,
+                           avp::kFirmwareRevision,
+                           avp::kResultCode,
+                           avp::kProductName,
+                           avp::kDisconnectCause,
+                           avp::kOriginStateId,
+                           avp::kFailedAvp,
+                           avp::kProxyHost,
+                           avp::kErrorMessage,
+                           avp::kRouteRecord,
+                           avp::kDestinationRealm,
+                           avp::kProxyInfo,
+                           avp::kDestinationHost,
+                           avp::kErrorReportingHost,
+                           avp::kTerminationCause,
+                           avp::kOriginRealm,
+                           avp::kInbandSecurityId,
+                           avp::kProxyState,
+                           avp::kCcRequestNumber,
+                           avp::kCcRequestType,
+                           avp::kServiceIdentifier,
+                           avp::kServiceContextId,
+                           avp::kSourceId,
+                           avp::kLoad,
+                           avp::kLoadType,
+                           avp::kLoadValue,
+                           avp::kMaximumWaitTime,
+                           avp::kServerLoad,
+                           avp::kProcessorWait,
+                           avp::kQueueLength,
+                           avp::kSpareLines,
+                           avp::kTotalLines,
+                           avp::kRetryAfter,
+                           avp::kRedialIndicator,
+                           avp::kLinesRequired,
+                           avp::kRefusalCause};
 
 // How often an AVP may stand in a command. AVPs that a grammar doesn't name may stand in it by its *[ AVP ],
 // but those that are answers' own may not stand in requests.
@@ -43,11 +71,21 @@
   using namespace avp;  // NOLINT: the table reads better so
   static const std::vector<Grammar> kGrammars = {
       // RFC 6733 sections 5.3.1 and 5.3.2
-      {kCapabilitiesExchange, true,
-       {{&kOriginHost, 1, 1}, {&kOriginRealm, 1, 1}, {&kHostIpAddress, 1, 0}, {&kVendorId, 1, 1},
-        {&kProductName, 1, 1}, {&kOriginStateId, 0, 1}, {&kFirmwareRevision, 0, 1}}},
-      {kCapabilitiesExchange, false,
-       {{&kResultCode, 1, 1}, {&kOriginHost, 1, 1}, {&kOriginRealm, 1, 1}, {&kOriginStateId, 0, 1},
+      {kCapabilitiesExchange,
+       true,
+       {{&kOriginHost, 1, 1},
+        {&kOriginRealm, 1, 1},
+        {&kHostIpAddress, 1, 0},
+        {&kVendorId, 1, 1},
+        {&kProductName, 1, 1},
+        {&kOriginStateId, 0, 1},
+        {&kFirmwareRevision, 0, 1}}},
+      {kCapabilitiesExchange,
+       false,
+       {{&kResultCode, 1, 1},
+        {&kOriginHost, 1, 1},
+        {&kOriginRealm, 1, 1},
+        {&kOriginStateId, 0, 1},
         {&kErrorMessage, 0, 1}}},
       // Sections 5.5.1 and 5.5.2
       {kDeviceWatchdog, true, {{&kOriginHost, 1, 1}, {&kOriginRealm, 1, 1}, {&kOriginStateId, 0, 1}}},
@@ -56,22 +94,46 @@
       {kDisconnectPeer, true, {{&kOriginHost, 1, 1}, {&kOriginRealm, 1, 1}, {&kDisconnectCause, 1, 1}}},
       {kDisconnectPeer, false, {{&kResultCode, 1, 1}, {&kOriginHost, 1, 1}, {&kOriginRealm, 1, 1}}},
       // Sections 8.5.1 and 8.5.2
-      {kAbortSession, true,
-       {{&kSessionId, 1, 1}, {&kOriginHost, 1, 1}, {&kOriginRealm, 1, 1}, {&kDestinationRealm, 1, 1},
-        {&kDestinationHost, 1, 1}, {&kAuthApplicationId, 1, 1}}},
-      {kAbortSession, false,
+      {kAbortSession,
+       true,
+       {{&kSessionId, 1, 1},
+        {&kOriginHost, 1, 1},
+        {&kOriginRealm, 1, 1},
+        {&kDestinationRealm, 1, 1},
+        {&kDestinationHost, 1, 1},
+        {&kAuthApplicationId, 1, 1}}},
+      {kAbortSession,
+       false,
        {{&kSessionId, 1, 1}, {&kResultCode, 1, 1}, {&kOriginHost, 1, 1}, {&kOriginRealm, 1, 1}}},
       // RFC 8506 sections 3.1 and 3.2
-      {kCreditControl, true,
-       {{&kSessionId, 1, 1}, {&kOriginHost, 1, 1}, {&kOriginRealm, 1, 1}, {&kDestinationRealm, 1, 1},
-        {&kAuthApplicationId, 1, 1}, {&kServiceContextId, 1, 1}, {&kCcRequestType, 1, 1},
-        {&kCcRequestNumber, 1, 1}, {&kDestinationHost, 0, 1}, {&kServiceIdentifier, 0, 1},
-        {&kCalledStationId, 0, 1}, {&kMaximumWaitTime, 0, 1}, {&kRedialIndicator, 0, 1},
+      {kCreditControl,
+       true,
+       {{&kSessionId, 1, 1},
+        {&kOriginHost, 1, 1},
+        {&kOriginRealm, 1, 1},
+        {&kDestinationRealm, 1, 1},
+        {&kAuthApplicationId, 1, 1},
+        {&kServiceContextId, 1, 1},
+        {&kCcRequestType, 1, 1},
+        {&kCcRequestNumber, 1, 1},
+        {&kDestinationHost, 0, 1},
+        {&kServiceIdentifier, 0, 1},
+        {&kCalledStationId, 0, 1},
+        {&kMaximumWaitTime, 0, 1},
+        {&kRedialIndicator, 0, 1},
         {&kLinesRequired, 0, 1}}},
-      {kCreditControl, false,
-       {{&kSessionId, 1, 1}, {&kResultCode, 1, 1}, {&kOriginHost, 1, 1}, {&kOriginRealm, 1, 1},
-        {&kAuthApplicationId, 1, 1}, {&kCcRequestType, 1, 1}, {&kCcRequestNumber, 1, 1},
-        {&kServerLoad, 0, 1}, {&kRetryAfter, 0, 1}, {&kRefusalCause, 0, 1}}},
+      {kCreditControl,
+       false,
+       {{&kSessionId, 1, 1},
+        {&kResultCode, 1, 1},
+        {&kOriginHost, 1, 1},
+        {&kOriginRealm, 1, 1},
+        {&kAuthApplicationId, 1, 1},
+        {&kCcRequestType, 1, 1},
+        {&kCcRequestNumber, 1, 1},
+        {&kServerLoad, 0, 1},
+        {&kRetryAfter, 0, 1},
+        {&kRefusalCause, 0, 1}}},
   };
   return kGrammars;
 }
@@ -126,7 +188,8 @@
       return std::nullopt;
     case AvpType::kAddress: {
       if (size < 3) return fault(kInvalidAvpLength, avp, "an address too short");
-      const int family = static_cast<unsigned char>(avp.data[0]) << 8 | static_cast<unsigned char>(avp.data[1]);
+      const int family =
+          static_cast<unsigned char>(avp.data[0]) << 8 | static_cast<unsigned char>(avp.data[1]);
       if ((family == 1 && size != 6) || (family == 2 && size != 18)) {
         return fault(kInvalidAvpLength, avp, "an address of a wrong length");
       }
@@ -179,9 +242,9 @@
     });
     return sorted;
   }();
-  const auto found = std::lower_bound(
-      kSorted.begin(), kSorted.end(), std::pair(vendor, code),
-      [](const AvpDef& a, const auto& key) { return std::pair(a.vendor, a.code) < key; });
+  const auto found =
+      std::lower_bound(kSorted.begin(), kSorted.end(), std::pair(vendor, code),
+                       [](const AvpDef& a, const auto& key) { return std::pair(a.vendor, a.code) < key; });
   return found != kSorted.end() && found->code == code && found->vendor == vendor ? &*found : nullptr;
 }
 
@@ -200,8 +263,8 @@
   if (grammar == nullptr) return std::nullopt;
   for (const AvpView& avp : message.avps) {
     if (auto wrong = check_avp(avp, 0)) return wrong;
-    const bool answers_own = avp.vendor == 0 && (avp.code == avp::kResultCode.code ||
-                                                 avp.code == avp::kFailedAvp.code);
+    const bool answers_own =
+        avp.vendor == 0 && (avp.code == avp::kResultCode.code || avp.code == avp::kFailedAvp.code);
     if (answers_own && message.header.request()) return fault(kAvpNotAllowed, avp, "not in a request");
   }
   // Answers that report an error have a grammar of their own (RFC 6733 section 7.2), and may lack what the
--- a/src/diameter/dictionary.hpp
+++ b/src/diameter/dictionary.hpp
@@ -1,8 +1,8 @@
 // The commands, AVPs and result codes that mintrock speaks, and the check of a message against them.
 //
 // Sources: RFC 6733 (base), RFC 8506 (Credit-Control, application 4), RFC 8583 (Load), RFC 7155 section 4.2.5
-// (Called-Station-Id), 3GPP TS 29.273 (Maximum-Wait-Time). What no document has stands under enterprise number
-// 32473, which RFC 5612 reserves for documentation.
+// (Called-Station-Id), 3GPP TS 29.273 (Maximum-Wait-Time). What no document has stands under enterprise
+// number 32473, which RFC 5612 reserves for documentation.
 #ifndef MINTROCK_SRC_DIAMETER_DICTIONARY_HPP_
 #define MINTROCK_SRC_DIAMETER_DICTIONARY_HPP_
 
@@ -21,7 +21,7 @@
   AvpType type;
   bool mandatory;  // the M bit, as this program sends it
   const char* name;
-  std::uint32_t least = 0;            // of integers: the least and greatest value allowed
+  std::uint32_t least = 0;  // of integers: the least and greatest value allowed
   std::uint32_t most = 0xFFFFFFFFu;
 };
 
@@ -136,8 +136,9 @@
 bool known_command(std::uint32_t command);
 
 // Checks a decoded message against the dictionary and its command's grammar: unknown AVPs with the M bit
-// (5001), flags (3009), lengths for the type (5014), values (5004), AVPs missing (5005), too many (5009) or not
-// allowed (5008). Groups are checked inside, 4 levels deep at most. Commands that are not known are not checked.
+// (5001), flags (3009), lengths for the type (5014), values (5004), AVPs missing (5005), too many (5009) or
+// not allowed (5008). Groups are checked inside, 4 levels deep at most. Commands that are not known are not
+// checked.
 std::optional<Fault> check(const MessageView& message);
 
 }  // namespace mintrock::diameter
--- a/src/diameter/duplicates.hpp
+++ b/src/diameter/duplicates.hpp
@@ -1,5 +1,5 @@
-// Duplicate detection (RFC 6733 sections 3 and 9.4): requests known by Origin-Host and End-to-End id, with the
-// answer that was given.
+// Duplicate detection (RFC 6733 sections 3 and 9.4): requests known by Origin-Host and End-to-End id, with
+// the answer that was given.
 //
 // Pure. Bounded in number and in age; the oldest goes first.
 #ifndef MINTROCK_SRC_DIAMETER_DUPLICATES_HPP_
--- a/src/diameter/peer.cpp
+++ b/src/diameter/peer.cpp
@@ -51,7 +51,8 @@
 std::string error_answer(const LocalNode& local, const MessageView& request, std::uint32_t result_code,
                          std::string_view failed_avp, std::string_view text) {
   Builder answer(answer_header(request.header, result_code >= 3000 && result_code < 4000));
-  if (const AvpView* session = request.find(avp::kSessionId.code)) answer.text(avp::kSessionId, session->data);
+  if (const AvpView* session = request.find(avp::kSessionId.code))
+    answer.text(avp::kSessionId, session->data);
   answer.u32(avp::kResultCode, result_code);
   add_origin(answer, local);
   if (request.header.command == kCreditControl) {  // its answer's grammar wants these back (RFC 8506, 3.2)
@@ -374,7 +375,8 @@
   std::optional<Fault> fault = decode(frame, view);
   const bool request = view.header.request();
   const std::uint32_t command = view.header.command;
-  const bool base = command == kCapabilitiesExchange || command == kDeviceWatchdog || command == kDisconnectPeer;
+  const bool base =
+      command == kCapabilitiesExchange || command == kDeviceWatchdog || command == kDisconnectPeer;
   if (!fault) {
     if (!known_command(command)) {
       fault = Fault{kCommandUnsupported, "", "command " + std::to_string(command)};
--- a/src/diameter/peer.hpp
+++ b/src/diameter/peer.hpp
@@ -31,12 +31,12 @@
 };
 
 struct PeerSettings {
-  std::string host;        // its Origin-Host
-  bool initiates = false;  // this side opens connections
-  bool watchdog = true;    // this side sends watchdog requests; theirs are always answered
-  double tw_s = 30;        // seconds, 6 or more
-  double tc_s = 30;        // seconds between attempts to connect
-  double answer_s = 10;    // seconds for a connection, a CEA or a DPA
+  std::string host;                  // its Origin-Host
+  bool initiates = false;            // this side opens connections
+  bool watchdog = true;              // this side sends watchdog requests; theirs are always answered
+  double tw_s = 30;                  // seconds, 6 or more
+  double tc_s = 30;                  // seconds between attempts to connect
+  double answer_s = 10;              // seconds for a connection, a CEA or a DPA
   std::uint32_t max_length = 65536;  // bytes of a message
 };
 
@@ -59,8 +59,8 @@
   virtual void down(const std::string& why) = 0;
   // The watchdog's fail-over (true) and fail-back (false): send nothing new while true.
   virtual void suspect(bool now_suspect) = 0;
-  // A checked message of the Credit-Control application or of a session. `reopening`: by RFC 3539 it counts for
-  // nothing; a request must still be answered.
+  // A checked message of the Credit-Control application or of a session. `reopening`: by RFC 3539 it counts
+  // for nothing; a request must still be answered.
   virtual void message(const MessageView& message, bool reopening) = 0;
   // One line about something wrong that came from this peer.
   virtual void bad(const std::string& what) = 0;
@@ -94,16 +94,17 @@
   std::uint32_t peer_origin_state() const { return peer_origin_state_; }
 
   // ---- Events ----
-  void start(double now);                // begin to connect (initiators)
-  void connected(double now);            // our connection stands
+  void start(double now);      // begin to connect (initiators)
+  void connected(double now);  // our connection stands
   void connect_failed(double now);
   void received(Link link, std::string_view bytes, double now);
-  void closed(Link link, double now, const std::string& why = "connection lost");  // by the other side, or a fault
-  void stop(DisconnectCause cause, double now);  // DPR, then close; no reconnection after it
-  void tick(double now);                 // call when `deadline` has passed
+  void closed(Link link, double now,
+              const std::string& why = "connection lost");  // by the other side, or a fault
+  void stop(DisconnectCause cause, double now);             // DPR, then close; no reconnection after it
+  void tick(double now);                                    // call when `deadline` has passed
   double deadline() const;
-  // A connection was accepted and this CER came over it. True: it is now Link::kAccepted, bytes that follow go
-  // to `received`. False: it was rejected; `reply` (may be empty) is to be sent and the connection closed.
+  // A connection was accepted and this CER came over it. True: it is now Link::kAccepted, bytes that follow
+  // go to `received`. False: it was rejected; `reply` (may be empty) is to be sent and the connection closed.
   bool accept(const MessageView& cer, double now, std::string& reply);
 
   // ---- Sending ----
--- a/src/diameter/watchdog.hpp
+++ b/src/diameter/watchdog.hpp
@@ -18,9 +18,9 @@
     bool attempt_open = false;
     bool close_connection = false;
     bool send_watchdog = false;
-    bool failover = false;   // send nothing new here until failback
-    bool failback = false;   // the connection may be used again
-    bool throw_away = false; // the message just received counts for nothing (REOPEN)
+    bool failover = false;    // send nothing new here until failback
+    bool failback = false;    // the connection may be used again
+    bool throw_away = false;  // the message just received counts for nothing (REOPEN)
   };
 
   // `tw_init_s`: seconds, 6 or more (section 3.4.1: not lower); each use is jittered by up to 2 s either way.
--- a/src/edge/admin.cpp
+++ b/src/edge/admin.cpp
@@ -27,7 +27,8 @@
 
 Admin::Admin(net::Loop& loop, const net::Address& at, std::map<std::string, Handler> paths)
     : loop_(loop), paths_(std::move(paths)) {
-  listener_ = std::make_unique<net::Listener>(loop_, at, [this](int fd, net::Address from) { accepted(fd, from); });
+  listener_ =
+      std::make_unique<net::Listener>(loop_, at, [this](int fd, net::Address from) { accepted(fd, from); });
 }
 
 Admin::~Admin() {
--- a/src/edge/call_desk.cpp
+++ b/src/edge/call_desk.cpp
@@ -77,13 +77,15 @@
   call.sent = now;
   call.state = View::State::kOut;
   counts_.attempts += 1;
-  call.give_up = timers_.at(now + action.give_up_after_s, [this, id = action.call, attempt] { give_up(id, attempt); });
+  call.give_up =
+      timers_.at(now + action.give_up_after_s, [this, id = action.call, attempt] { give_up(id, attempt); });
   const Handover handover = ports_.send_setup(action.call, attempt, action.server, action.give_up_after_s);
   if (handover == Handover::kTaken) return;
   const auto again = calls_.find(action.call);
   if (again == calls_.end() || again->second.attempts != attempt + 1) return;
   attempt_over(action.call, again->second,
-               handover == Handover::kNoWay ? Outcome::kConnectFailed : Outcome::kNotSent, Cause::kNone, 0, {}, now);
+               handover == Handover::kNoWay ? Outcome::kConnectFailed : Outcome::kNotSent, Cause::kNone, 0,
+               {}, now);
 }
 
 void CallDesk::give_up(CallId id, std::uint32_t attempt) {
@@ -142,7 +144,8 @@
     return;
   }
   Call& call = found->second;
-  if (call.state == View::State::kOut) return attempt_over(id, call, outcome, cause, told_wait_s, report, now);
+  if (call.state == View::State::kOut)
+    return attempt_over(id, call, outcome, cause, told_wait_s, report, now);
   AttemptEnded event;
   event.call = id;
   event.attempt = attempt;
--- a/src/edge/call_desk.hpp
+++ b/src/edge/call_desk.hpp
@@ -1,5 +1,5 @@
-// The life of every call at this proxy, whatever protocol brought it: one final answer, one attempt at a time,
-// each attempt's time-out, the timers that the decisions ask for.
+// The life of every call at this proxy, whatever protocol brought it: one final answer, one attempt at a
+// time, each attempt's time-out, the timers that the decisions ask for.
 //
 // Pure: events and times in, calls of DeskPorts out; no sockets, no clock. All that is to be decided is asked
 // of the Controller; the desk keeps the account, and its own bounds hold should anything else fail: a call is
@@ -40,9 +40,9 @@
 
 // What becomes of an attempt when it is handed to the core side.
 enum class Handover {
-  kTaken,      // sent, or waiting for its connection
-  kNoWay,      // no connection can be had now: it never ran
-  kNotSent     // this proxy is in no state to send it: it never ran
+  kTaken,   // sent, or waiting for its connection
+  kNoWay,   // no connection can be had now: it never ran
+  kNotSent  // this proxy is in no state to send it: it never ran
 };
 
 class DeskPorts {
@@ -50,7 +50,8 @@
   virtual ~DeskPorts() = default;
   virtual void answer(CallId call, const Verdict& verdict) = 0;  // once for each call that was offered
   virtual void cut(CallId call) = 0;                             // a standing call was ended by the core side
-  virtual Handover send_setup(CallId call, std::uint32_t attempt, ServerId server, double give_up_after_s) = 0;
+  virtual Handover send_setup(CallId call, std::uint32_t attempt, ServerId server,
+                              double give_up_after_s) = 0;
   // Free whatever this attempt, or the standing call that it became, holds at the server.
   virtual void release(CallId call, std::uint32_t attempt, ServerId server) = 0;
   virtual void forget(CallId call) = 0;  // nothing more comes for it
@@ -65,15 +66,15 @@
   std::uint64_t stood = 0;
   std::uint64_t refused = 0;
   std::uint64_t failed = 0;
-  std::uint64_t abandoned = 0;     // by the caller, before an answer
-  std::uint64_t turned_away = 0;   // refused, since the table was full or the proxy draining
-  std::uint64_t overdue = 0;       // answered by the desk itself at the caller's end: a fault of ours
-  std::uint64_t ended = 0;         // standing calls ended by their callers
-  std::uint64_t cut = 0;           // and by the core side
+  std::uint64_t abandoned = 0;    // by the caller, before an answer
+  std::uint64_t turned_away = 0;  // refused, since the table was full or the proxy draining
+  std::uint64_t overdue = 0;      // answered by the desk itself at the caller's end: a fault of ours
+  std::uint64_t ended = 0;        // standing calls ended by their callers
+  std::uint64_t cut = 0;          // and by the core side
   std::uint64_t attempts = 0;
   std::uint64_t timed_out = 0;
   std::uint64_t cancelled = 0;
-  std::uint64_t late = 0;          // answers of attempts that were over already
+  std::uint64_t late = 0;  // answers of attempts that were over already
 };
 
 class CallDesk {
@@ -141,8 +142,8 @@
   void act(const TellPeer& action, double now);
   void act(const Log& action, double now);
   void finish(CallId id, const Verdict& verdict, double now);
-  void attempt_over(CallId id, Call& call, Outcome outcome, Cause cause, double told_wait_s, const Report& report,
-                    double now);
+  void attempt_over(CallId id, Call& call, Outcome outcome, Cause cause, double told_wait_s,
+                    const Report& report, double now);
   void give_up(CallId id, std::uint32_t attempt);
   void drop(CallId id);
 
--- a/src/edge/config.cpp
+++ b/src/edge/config.cpp
@@ -165,7 +165,8 @@
     return x.aim_s == y.aim_s && x.deadline_s == y.deadline_s && x.value == y.value && x.effect == y.effect &&
            x.nodes == y.nodes;
   };
-  bool classes = a.settings.classes.size() == b.settings.classes.size() && a.class_of_service == b.class_of_service;
+  bool classes =
+      a.settings.classes.size() == b.settings.classes.size() && a.class_of_service == b.class_of_service;
   for (std::size_t i = 0; classes && i < a.settings.classes.size(); ++i) {
     classes = same_class(a.settings.classes[i], b.settings.classes[i]);
   }
--- a/src/edge/config.hpp
+++ b/src/edge/config.hpp
@@ -22,12 +22,12 @@
   } node;
 
   struct Core {
-    bool watchdog = false;         // send watchdog requests to core servers (theirs are always answered)
-    double watchdog_s = 30;        // Tw
-    double reconnect_s = 1;        // Tc
-    double connect_s = 0.5;        // for a connection and its CEA; also how long a set-up waits for one
-    double session_hold_s = 2;     // standing calls outlive their connection for so long
-    double linger_s = 30;          // how long the answer of a given-up attempt is still known
+    bool watchdog = false;      // send watchdog requests to core servers (theirs are always answered)
+    double watchdog_s = 30;     // Tw
+    double reconnect_s = 1;     // Tc
+    double connect_s = 0.5;     // for a connection and its CEA; also how long a set-up waits for one
+    double session_hold_s = 2;  // standing calls outlive their connection for so long
+    double linger_s = 30;       // how long the answer of a given-up attempt is still known
     std::uint32_t max_unsent = 1 << 20;  // bytes
   } core;
 
@@ -62,7 +62,7 @@
 
   std::uint32_t max_calls = 20000;  // open and standing, together
   std::uint32_t max_message = 65536;
-  std::uint64_t seed = 0;  // 0: drawn at start
+  std::uint64_t seed = 0;                                   // 0: drawn at start
   std::map<std::uint32_t, std::uint32_t> class_of_service;  // Service-Identifier -> place in classes
   std::vector<std::string> class_names;
   Settings settings;  // what the Controller is told
--- a/src/edge/core_side.cpp
+++ b/src/edge/core_side.cpp
@@ -6,7 +6,8 @@
 namespace mintrock::edge {
 namespace {
 
-constexpr std::size_t kMostLingering = 100000;  // answers of a server that may still come, and nobody waits for
+constexpr std::size_t kMostLingering =
+    100000;  // answers of a server that may still come, and nobody waits for
 
 CoreAnswer outcome_only(Outcome outcome) {
   CoreAnswer answer;
@@ -16,8 +17,8 @@
 
 }  // namespace
 
-CoreSide::CoreSide(net::Loop& loop, const diameter::LocalNode& local, const Config& config, std::uint64_t seed,
-                   CorePorts& ports)
+CoreSide::CoreSide(net::Loop& loop, const diameter::LocalNode& local, const Config& config,
+                   std::uint64_t seed, CorePorts& ports)
     : loop_(loop), local_(local), config_(config), seed_(seed), ports_(ports) {}
 
 CoreSide::~CoreSide() {
@@ -48,7 +49,8 @@
     return;
   }
   if (moved) {
-    if (server.link && server.link->peer().state() != diameter::Peer::State::kClosed) on_down(server, "moved");
+    if (server.link && server.link->peer().state() != diameter::Peer::State::kClosed)
+      on_down(server, "moved");
     server.link.reset();
   }
   if (!server.link) make_link(server);
@@ -113,7 +115,8 @@
   server->link->start();
   const double now = loop_.now();
   server->queued.push_back({call, attempt, now + give_up_after_s,
-                            now + std::min(config_.core.connect_s, give_up_after_s), std::move(record), from_peer});
+                            now + std::min(config_.core.connect_s, give_up_after_s), std::move(record),
+                            from_peer});
   watch_queue(*server);
   return Handover::kTaken;
 }
@@ -151,7 +154,8 @@
                         RecordPtr record, const std::string& from_peer) {
   const std::uint32_t hop = server.link->peer().next_hop_by_hop();
   server.legs[record->session_id] = {call, attempt, false, record, from_peer};
-  server.link->send(write_setup(*record, server.entry.identity, from_peer, hop, attempt > 0, give_up_after_s));
+  server.link->send(
+      write_setup(*record, server.entry.identity, from_peer, hop, attempt > 0, give_up_after_s));
   server.pending[hop] = {record->session_id, call, attempt, false, false, 0, record, from_peer};
 }
 
@@ -183,13 +187,14 @@
   if (!server.link || !server.link->peer().open()) return owe(server, record, from_peer);
   diameter::Peer& peer = server.link->peer();
   const std::uint32_t hop = peer.next_hop_by_hop();
-  server.link->send(write_termination(*record, server.entry.identity, from_peer, hop, peer.next_end_to_end()));
+  server.link->send(
+      write_termination(*record, server.entry.identity, from_peer, hop, peer.next_end_to_end()));
   server.pending[hop] = {record->session_id, 0, 0, true, true, 0, record, from_peer};
   linger(server, hop);
 }
 
-// Sessions outlive connections (RFC 6733 section 8). A release that met no connection, or whose answer was lost
-// with one, would leave its lines taken for good at a server that only lost its connection.
+// Sessions outlive connections (RFC 6733 section 8). A release that met no connection, or whose answer was
+// lost with one, would leave its lines taken for good at a server that only lost its connection.
 void CoreSide::owe(Server& server, RecordPtr record, const std::string& from_peer) {
   const double now = loop_.now();
   while (!server.owed.empty() && (server.owed.front().until <= now || server.owed.size() >= kMostLingering)) {
@@ -219,7 +224,8 @@
   }
 }
 
-bool CoreSide::pass_termination(const std::string& identity, const CallRecord& record, const std::string& from_peer) {
+bool CoreSide::pass_termination(const std::string& identity, const CallRecord& record,
+                                const std::string& from_peer) {
   for (auto& [id, server] : servers_) {
     if (server->entry.identity != identity || !server->link) continue;
     send_release(*server, std::make_shared<CallRecord>(record), from_peer);
@@ -241,7 +247,8 @@
     if (server.entry.state != ServerEntry::State::kReady) {
       ports_.core_ended(each.call, each.attempt, outcome_only(Outcome::kNotSent));
     } else {
-      transmit(server, each.call, each.attempt, each.give_up_at - now, std::move(each.record), each.from_peer);
+      transmit(server, each.call, each.attempt, each.give_up_at - now, std::move(each.record),
+               each.from_peer);
     }
   }
 }
@@ -297,7 +304,8 @@
   if (!view.header.request()) return on_answer(server, view);
   if (view.header.command == diameter::kAbortSession) return on_abort(server, view);
   // A core server sets no calls up here.
-  server.link->send(diameter::error_answer(local_, view, diameter::kCommandUnsupported, {}, "not from this side"));
+  server.link->send(
+      diameter::error_answer(local_, view, diameter::kCommandUnsupported, {}, "not from this side"));
 }
 
 void CoreSide::on_answer(Server& server, const diameter::MessageView& view) {
@@ -370,7 +378,8 @@
     View view;
     view.identity = server->entry.identity;
     view.state = server->link ? diameter::name(server->link->peer().state()) : "none";
-    view.watchdog = config_.core.watchdog && server->link ? diameter::name(server->link->peer().watchdog_state()) : "off";
+    view.watchdog =
+        config_.core.watchdog && server->link ? diameter::name(server->link->peer().watchdog_state()) : "off";
     for (const auto& [session, leg] : server->legs) (leg.stands ? view.standing : view.out) += 1;
     view.load = server->load;
     out.push_back(std::move(view));
--- a/src/edge/core_side.hpp
+++ b/src/edge/core_side.hpp
@@ -47,9 +47,10 @@
 
   // What the list says of a server. One that is ready is connected to at once.
   void update(ServerId server, const list::Entry& entry);
-  Handover send_setup(CallId call, std::uint32_t attempt, ServerId server, double give_up_after_s, RecordPtr record,
-                      const std::string& from_peer);
-  void release(CallId call, std::uint32_t attempt, ServerId server, RecordPtr record, const std::string& from_peer);
+  Handover send_setup(CallId call, std::uint32_t attempt, ServerId server, double give_up_after_s,
+                      RecordPtr record, const std::string& from_peer);
+  void release(CallId call, std::uint32_t attempt, ServerId server, RecordPtr record,
+               const std::string& from_peer);
   // The end of a call that another proxy set up. False: no such server.
   bool pass_termination(const std::string& server, const CallRecord& record, const std::string& from_peer);
   // An accepted connection whose CER names one of the core servers; false: it names none.
--- a/src/edge/credit_control.cpp
+++ b/src/edge/credit_control.cpp
@@ -61,18 +61,20 @@
 
 // AVPs that are written anew, or that concern this hop alone; all others are passed on untouched.
 bool own(const AvpView& each) {
-  static const AvpDef* const kOwn[] = {&avp::kSessionId,        &avp::kOriginHost,       &avp::kOriginRealm,
-                                       &avp::kDestinationRealm, &avp::kAuthApplicationId, &avp::kServiceContextId,
-                                       &avp::kCcRequestType,    &avp::kCcRequestNumber,  &avp::kDestinationHost,
-                                       &avp::kCalledStationId,  &avp::kServiceIdentifier, &avp::kMaximumWaitTime,
-                                       &avp::kLinesRequired,    &avp::kRedialIndicator};
+  static const AvpDef* const kOwn[] = {
+      &avp::kSessionId,         &avp::kOriginHost,       &avp::kOriginRealm,       &avp::kDestinationRealm,
+      &avp::kAuthApplicationId, &avp::kServiceContextId, &avp::kCcRequestType,     &avp::kCcRequestNumber,
+      &avp::kDestinationHost,   &avp::kCalledStationId,  &avp::kServiceIdentifier, &avp::kMaximumWaitTime,
+      &avp::kLinesRequired,     &avp::kRedialIndicator};
   return std::any_of(std::begin(kOwn), std::end(kOwn),
                      [&](const AvpDef* def) { return def->code == each.code && def->vendor == each.vendor; });
 }
 
 }  // namespace
 
-std::uint32_t request_type(const MessageView& message) { return number(message, avp::kCcRequestType).value_or(0); }
+std::uint32_t request_type(const MessageView& message) {
+  return number(message, avp::kCcRequestType).value_or(0);
+}
 std::string session_of(const MessageView& message) { return text(message, avp::kSessionId); }
 
 CallRecord read_setup(const MessageView& request) {
@@ -218,7 +220,9 @@
 
 void write_report(Builder& out, const Report& report) {
   if (!report.wait_s && !report.queue && !report.spare && !report.total) return;
-  const auto whole = [](double value) { return static_cast<std::uint32_t>(std::clamp(value, 0.0, kLongestMs)); };
+  const auto whole = [](double value) {
+    return static_cast<std::uint32_t>(std::clamp(value, 0.0, kLongestMs));
+  };
   out.begin_group(avp::kServerLoad);
   if (report.wait_s) out.u32(avp::kProcessorWait, whole(*report.wait_s * 1000));
   if (report.queue) out.u32(avp::kQueueLength, whole(*report.queue));
--- a/src/edge/diameter_front.cpp
+++ b/src/edge/diameter_front.cpp
@@ -11,8 +11,10 @@
 using diameter::Result;
 
 DiameterFront::DiameterFront(
-    net::Loop& loop, const diameter::LocalNode& local, const Config& config, std::uint64_t seed, Switchboard& board,
-    std::function<bool(const std::shared_ptr<net::Stream>&, const MessageView&, std::string_view)> core_connection,
+    net::Loop& loop, const diameter::LocalNode& local, const Config& config, std::uint64_t seed,
+    Switchboard& board,
+    std::function<bool(const std::shared_ptr<net::Stream>&, const MessageView&, std::string_view)>
+        core_connection,
     std::function<void(const std::string&, const char*, const std::string&)> event)
     : loop_(loop),
       local_(local),
@@ -35,9 +37,8 @@
 }
 
 std::size_t DiameterFront::open_peers() const {
-  return static_cast<std::size_t>(std::count_if(callers_.begin(), callers_.end(), [](const auto& each) {
-    return each.second->link->peer().open();
-  }));
+  return static_cast<std::size_t>(std::count_if(
+      callers_.begin(), callers_.end(), [](const auto& each) { return each.second->link->peer().open(); }));
 }
 
 // ---- Connections ----
@@ -135,7 +136,9 @@
     event_(caller.host, "up", "");
   };
   handlers.down = [this, &caller](const std::string& why) { on_down(caller, why); };
-  handlers.suspect = [this, &caller](bool suspect) { event_(caller.host, suspect ? "suspect" : "usable", ""); };
+  handlers.suspect = [this, &caller](bool suspect) {
+    event_(caller.host, suspect ? "suspect" : "usable", "");
+  };
   handlers.message = [this, &caller](const MessageView& view, bool reopening) {
     on_message(caller, view, reopening);
   };
@@ -226,7 +229,8 @@
     return;
   }
   if (sessions_.count(record->session_id) != 0) {
-    reply(caller.host, error_answer(local_, view, diameter::kUnableToComply, {}, "this session is a call already"));
+    reply(caller.host,
+          error_answer(local_, view, diameter::kUnableToComply, {}, "this session is a call already"));
     return;
   }
   // Entered before the offer: the answer may come at once.
--- a/src/edge/diameter_front.hpp
+++ b/src/edge/diameter_front.hpp
@@ -29,12 +29,12 @@
  public:
   // `core_connection` is offered connections whose CER names no caller, in case a core server called.
   // `event` is told one line of the log: a peer, a name for the event, details.
-  DiameterFront(net::Loop& loop, const diameter::LocalNode& local, const Config& config, std::uint64_t seed,
-                Switchboard& board,
-                std::function<bool(const std::shared_ptr<net::Stream>&, const diameter::MessageView&,
-                                   std::string_view)>
-                    core_connection,
-                std::function<void(const std::string& peer, const char* event, const std::string& detail)> event);
+  DiameterFront(
+      net::Loop& loop, const diameter::LocalNode& local, const Config& config, std::uint64_t seed,
+      Switchboard& board,
+      std::function<bool(const std::shared_ptr<net::Stream>&, const diameter::MessageView&, std::string_view)>
+          core_connection,
+      std::function<void(const std::string& peer, const char* event, const std::string& detail)> event);
   ~DiameterFront() override;
 
   void answer(CallId call, const Verdict& verdict) override;
@@ -75,7 +75,8 @@
   void accepted(int fd, net::Address from);
   void gate_bytes(std::uint64_t gate, std::string_view bytes);
   void drop_gate(std::uint64_t gate, const std::string& why);
-  void introduce(const std::shared_ptr<net::Stream>& stream, const diameter::MessageView& cer, std::string_view rest);
+  void introduce(const std::shared_ptr<net::Stream>& stream, const diameter::MessageView& cer,
+                 std::string_view rest);
   Caller* caller(const std::string& host);
   void on_message(Caller& caller, const diameter::MessageView& view, bool reopening);
   void on_setup(Caller& caller, const diameter::MessageView& view, bool reopening);
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -58,8 +58,8 @@
           }),
       hearsay_out_(config_.settings.own_number, static_cast<std::uint64_t>(net::wall_now() * 1000)),
       hearsay_in_(config_.settings.own_number, config_.settings.fleet_size) {
-  const auto count = [this](const char* name, const char* help, const std::map<std::string, std::string>& labels,
-                            const std::uint64_t& value) {
+  const auto count = [this](const char* name, const char* help,
+                            const std::map<std::string, std::string>& labels, const std::uint64_t& value) {
     metrics_.counter(name, help, labels, [&value] { return static_cast<double>(value); });
   };
   const DeskCounts& d = desk_.counts();
@@ -71,7 +71,8 @@
   count(kCalls, kCallsHelp, {{"outcome", "failed"}}, d.failed);
   count(kCalls, kCallsHelp, {{"outcome", "abandoned"}}, d.abandoned);
   count("mintrock_calls_turned_away_total", "Of the refused: table full, or draining", {}, d.turned_away);
-  count("mintrock_calls_overdue_total", "Answered by the last guard at the caller's end; a fault", {}, d.overdue);
+  count("mintrock_calls_overdue_total", "Answered by the last guard at the caller's end; a fault", {},
+        d.overdue);
   count("mintrock_calls_cut_total", "Standing calls ended by the core side", {}, d.cut);
   count("mintrock_calls_ended_total", "Standing calls ended by their callers", {}, d.ended);
   const char* const kAttempts = "mintrock_attempts_ended_total";
@@ -110,11 +111,15 @@
       loop_, config_.node.admin,
       std::map<std::string, Admin::Handler>{
           {"/healthz", [this] { return health(); }},
-          {"/metrics", [this] { return Admin::Response{200, "text/plain; version=0.0.4", metrics_.text()}; }},
+          {"/metrics",
+           [this] {
+             return Admin::Response{200, "text/plain; version=0.0.4", metrics_.text()};
+           }},
           {"/calls", [this] { return calls(); }}});
   if (config_.settings.tells_peers) {
     datagrams_ = std::make_unique<net::Datagrams>(
-        loop_, config_.fleet.listen, [this](std::string_view bytes, net::Address from) { on_datagram(bytes, from); });
+        loop_, config_.fleet.listen,
+        [this](std::string_view bytes, net::Address from) { on_datagram(bytes, from); });
   }
   list_ = std::make_unique<list::Client>(
       loop_, config_.list.server, config_.list.path, config_.list.reconnect_s, config_.list.idle_s,
@@ -130,8 +135,9 @@
   load_cached_list();
   desk_.start(loop_.now());
   watch_desk();
-  log_event(info, "started",
-            {{"listen", front_.listening().str()}, {"admin", admin_->listening().str()}, {"node", local_.host}});
+  log_event(
+      info, "started",
+      {{"listen", front_.listening().str()}, {"admin", admin_->listening().str()}, {"node", local_.host}});
 }
 
 // The desk's timers ride on one timer of the loop.
@@ -159,7 +165,8 @@
   offer.ttl_s = record->max_wait_ms ? std::min(deadline, *record->max_wait_ms / 1000.0) : deadline;
   offer.key = key_of(record->called);
   offer.lines = record->lines;
-  if (const list::Entry* entry = book_.find(book_.number(record->destination_host))) offer.first_choice = entry->node;
+  if (const list::Entry* entry = book_.find(book_.number(record->destination_host)))
+    offer.first_choice = entry->node;
   offer.redialled = record->redial == 1;
   offer.was_cut = record->redial == 2;
   calls_[id] = {&front, std::move(record), from_peer};
@@ -210,12 +217,14 @@
 Handover Edge::send_setup(CallId call, std::uint32_t attempt, ServerId server, double give_up_after_s) {
   const auto found = calls_.find(call);
   if (found == calls_.end()) return Handover::kNotSent;
-  return core_.send_setup(call, attempt, server, give_up_after_s, found->second.record, found->second.from_peer);
+  return core_.send_setup(call, attempt, server, give_up_after_s, found->second.record,
+                          found->second.from_peer);
 }
 
 void Edge::release(CallId call, std::uint32_t attempt, ServerId server) {
   const auto found = calls_.find(call);
-  if (found != calls_.end()) core_.release(call, attempt, server, found->second.record, found->second.from_peer);
+  if (found != calls_.end())
+    core_.release(call, attempt, server, found->second.record, found->second.from_peer);
 }
 
 void Edge::subscribe() { list_->open(); }
@@ -266,9 +275,11 @@
   list_fresh_ = true;
   const double now = loop_.now();
   log_event(info, "list", {{"revision", std::to_string(news.revision)}});
-  // Told to the Controller first: what is drained must be known before anything that waits is looked at again.
-  desk_.list(book_.event(news, news.full ? ServerList::Mode::kFull : ServerList::Mode::kDelta, now, net::wall_now()),
-             now);
+  // Told to the Controller first: what is drained must be known before anything that waits is looked at
+  // again.
+  desk_.list(
+      book_.event(news, news.full ? ServerList::Mode::kFull : ServerList::Mode::kDelta, now, net::wall_now()),
+      now);
   for (const auto& [id, entry] : book_.entries()) core_.update(id, entry);
   watch_desk();
   save_list();
@@ -318,8 +329,9 @@
   std::string why = "from an address of no proxy";
   std::optional<PeerNews> news;
   if (found != peers.end()) {
-    news = hearsay_in_.read(bytes, static_cast<std::uint32_t>(found - peers.begin()),
-                            [this](const std::string& identity) { return book_.number(identity); }, why);
+    news = hearsay_in_.read(
+        bytes, static_cast<std::uint32_t>(found - peers.begin()),
+        [this](const std::string& identity) { return book_.number(identity); }, why);
   }
   if (!news) {
     log_event(debug, "hearsay_dropped", {{"peer", from.str()}, {"detail", why}});
@@ -391,8 +403,12 @@
                        {"standing", each.standing}});
     if (each.load >= 0) servers.back()["load"] = each.load;
   }
-  const char* state = draining_ ? "draining" : open == 0 ? "no core server" : !list_fresh_ ? "list lost" : "ok";
-  const nlohmann::ordered_json json{{"state", state}, {"list_revision", book_.revision()}, {"servers", servers}};
+  const char* state = draining_      ? "draining"
+                      : open == 0    ? "no core server"
+                      : !list_fresh_ ? "list lost"
+                                     : "ok";
+  const nlohmann::ordered_json json{
+      {"state", state}, {"list_revision", book_.revision()}, {"servers", servers}};
   return {draining_ || open == 0 ? 503 : 200, "application/json", json.dump(2) + "\n"};
 }
 
--- a/src/edge/edge.hpp
+++ b/src/edge/edge.hpp
@@ -37,7 +37,7 @@
   std::size_t callers_connected() const { return front_.open_peers(); }
   std::size_t open_calls() const { return desk_.open(); }
   std::size_t standing_calls() const { return desk_.standing(); }
-  void drain();   // SIGTERM: no new calls, answers awaited, DPR, then the loop is stopped
+  void drain();  // SIGTERM: no new calls, answers awaited, DPR, then the loop is stopped
 
  private:
   struct CallEntry {
--- a/src/edge/logging.cpp
+++ b/src/edge/logging.cpp
@@ -8,7 +8,8 @@
 namespace mintrock::edge {
 
 void init_logging(const std::string& level, const std::string& file) {
-  auto logger = file.empty() ? spdlog::stderr_logger_st("mintrock") : spdlog::basic_logger_st("mintrock", file);
+  auto logger =
+      file.empty() ? spdlog::stderr_logger_st("mintrock") : spdlog::basic_logger_st("mintrock", file);
   logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%f%z","level":"%l",%v})");
   logger->flush_on(spdlog::level::info);
   spdlog::set_default_logger(std::move(logger));
--- a/src/edge/logging.hpp
+++ b/src/edge/logging.hpp
@@ -1,5 +1,5 @@
-// Structured logs: one JSON object a line, through spdlog. Members: time, level, event, and what the event has
-// (call, session, peer, detail).
+// Structured logs: one JSON object a line, through spdlog. Members: time, level, event, and what the event
+// has (call, session, peer, detail).
 #ifndef MINTROCK_SRC_EDGE_LOGGING_HPP_
 #define MINTROCK_SRC_EDGE_LOGGING_HPP_
 
--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -1,11 +1,10 @@
 // mintrock-edge: the edge proxy's command line.
+#include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
 #include <exception>
 #include <string>
 
-#include <CLI/CLI.hpp>
-
 #include "edge/config.hpp"
 #include "edge/edge.hpp"
 #include "edge/logging.hpp"
--- a/src/edge/metrics.cpp
+++ b/src/edge/metrics.cpp
@@ -14,8 +14,8 @@
                      .Name("mintrock_setup_delay_seconds")
                      .Help("From a call's offer to its answer that it stands")
                      .Register(registry_);
-  delay_ = &family.Add({}, prometheus::Histogram::BucketBoundaries{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
-                                                                   0.5, 1, 2, 5, 10});
+  delay_ = &family.Add({}, prometheus::Histogram::BucketBoundaries{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
+                                                                   0.2, 0.5, 1, 2, 5, 10});
 }
 
 void Metrics::gauge(const std::string& name, const std::string& help,
--- a/src/edge/metrics.hpp
+++ b/src/edge/metrics.hpp
@@ -16,10 +16,10 @@
  public:
   Metrics();
   // A figure that is read on demand.
-  void gauge(const std::string& name, const std::string& help, const std::map<std::string, std::string>& labels,
-             std::function<double()> value);
-  void counter(const std::string& name, const std::string& help, const std::map<std::string, std::string>& labels,
-               std::function<double()> value);
+  void gauge(const std::string& name, const std::string& help,
+             const std::map<std::string, std::string>& labels, std::function<double()> value);
+  void counter(const std::string& name, const std::string& help,
+               const std::map<std::string, std::string>& labels, std::function<double()> value);
   void setup_delay(double seconds) { delay_->Observe(seconds); }
   std::string text();
 
--- a/src/edge/peer_link.cpp
+++ b/src/edge/peer_link.cpp
@@ -7,7 +7,8 @@
 using diameter::Link;
 
 PeerLink::PeerLink(net::Loop& loop, const diameter::LocalNode& local, diameter::PeerSettings settings,
-                   std::uint64_t seed, std::optional<net::Address> address, std::size_t max_unsent, Handlers handlers)
+                   std::uint64_t seed, std::optional<net::Address> address, std::size_t max_unsent,
+                   Handlers handlers)
     : loop_(loop),
       address_(address),
       max_unsent_(max_unsent),
@@ -31,7 +32,8 @@
   reschedule();
 }
 
-bool PeerLink::adopt(std::shared_ptr<net::Stream> accepted, const diameter::MessageView& cer, std::string_view rest) {
+bool PeerLink::adopt(std::shared_ptr<net::Stream> accepted, const diameter::MessageView& cer,
+                     std::string_view rest) {
   // In place before the machine answers over it.
   std::shared_ptr<net::Stream> before = std::exchange(stream(Link::kAccepted), accepted);
   std::string reply;
@@ -94,7 +96,8 @@
   if (stream(link)) std::exchange(stream(link), nullptr)->close_after_flush();
 }
 
-// The timer is only set anew when the machine wants to be called earlier; one that comes too early looks again.
+// The timer is only set anew when the machine wants to be called earlier; one that comes too early looks
+// again.
 void PeerLink::reschedule() {
   const double due = peer_.deadline();
   if (timer_ != 0 && timer_at_ <= due) return;
--- a/src/edge/peer_link.hpp
+++ b/src/edge/peer_link.hpp
@@ -23,8 +23,9 @@
     std::function<void(const std::string& why)> refused;  // a connection could not be had
   };
 
-  PeerLink(net::Loop& loop, const diameter::LocalNode& local, diameter::PeerSettings settings, std::uint64_t seed,
-           std::optional<net::Address> address, std::size_t max_unsent, Handlers handlers);
+  PeerLink(net::Loop& loop, const diameter::LocalNode& local, diameter::PeerSettings settings,
+           std::uint64_t seed, std::optional<net::Address> address, std::size_t max_unsent,
+           Handlers handlers);
   ~PeerLink() override;
   PeerLink(const PeerLink&) = delete;
 
@@ -44,7 +45,9 @@
   void up() override { handlers_.up(); }
   void down(const std::string& why) override { handlers_.down(why); }
   void suspect(bool now_suspect) override { handlers_.suspect(now_suspect); }
-  void message(const diameter::MessageView& view, bool reopening) override { handlers_.message(view, reopening); }
+  void message(const diameter::MessageView& view, bool reopening) override {
+    handlers_.message(view, reopening);
+  }
   void bad(const std::string& what) override { handlers_.bad(what); }
 
   std::shared_ptr<net::Stream>& stream(diameter::Link link) {
--- a/src/fleet/hearsay.cpp
+++ b/src/fleet/hearsay.cpp
@@ -17,7 +17,8 @@
 
 }  // namespace
 
-std::string Writer::pack(const std::vector<Hearsay>& hearsay, const std::function<std::string(ServerId)>& identity) {
+std::string Writer::pack(const std::vector<Hearsay>& hearsay,
+                         const std::function<std::string(ServerId)>& identity) {
   v1::News news;
   news.set_version(kVersion);
   news.set_sender(own_);
@@ -39,7 +40,8 @@
 }
 
 std::optional<PeerNews> Reader::read(std::string_view bytes, std::uint32_t expected,
-                                     const std::function<ServerId(const std::string&)>& number, std::string& why) {
+                                     const std::function<ServerId(const std::string&)>& number,
+                                     std::string& why) {
   v1::News news;
   if (bytes.size() > kMostBytes || !news.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
     why = "no message of a proxy";
--- a/src/fleet/hearsay.hpp
+++ b/src/fleet/hearsay.hpp
@@ -16,8 +16,8 @@
 
 namespace mintrock::fleet {
 
-inline constexpr std::size_t kMostBytes = 1400;    // of a datagram
-inline constexpr std::size_t kMostHearsay = 64;    // servers in one message
+inline constexpr std::size_t kMostBytes = 1400;  // of a datagram
+inline constexpr std::size_t kMostHearsay = 64;  // servers in one message
 inline constexpr std::uint32_t kVersion = 1;
 
 // Writes messages of one proxy.
@@ -37,9 +37,9 @@
 class Reader {
  public:
   Reader(std::uint32_t own_number, std::uint32_t fleet_size) : own_(own_number), fleet_size_(fleet_size) {}
-  // `expected`: the number of the proxy whose address it came from. Nothing, with the reason in `why`, where the
-  // message is broken, of another version, not from the one it says, doubled or overtaken. Servers without a
-  // number here are left out.
+  // `expected`: the number of the proxy whose address it came from. Nothing, with the reason in `why`, where
+  // the message is broken, of another version, not from the one it says, doubled or overtaken. Servers
+  // without a number here are left out.
   std::optional<PeerNews> read(std::string_view bytes, std::uint32_t expected,
                                const std::function<ServerId(const std::string&)>& number, std::string& why);
 
--- a/src/lab/list.cpp
+++ b/src/lab/list.cpp
@@ -87,7 +87,8 @@
       const std::size_t at = s.request.find("?proxy=");
       if (at != std::string::npos) s.proxy = s.request.substr(at + 7, s.request.find(' ', at) - at - 7);
       s.open = true;
-      s.stream->write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n\r\n");
+      s.stream->write(
+          "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n\r\n");
       tell(s, {revision_, true, entries_, {}});
     };
     each.stream->set(std::move(handlers));
--- a/src/lab/parts.hpp
+++ b/src/lab/parts.hpp
@@ -30,12 +30,14 @@
 int run_list(const Scenario& scenario, const std::string& dir);
 int run_callers(const Scenario& scenario, const std::string& dir);
 
-// Starts all of it, waits, checks. `keep`: the folder of the traces; empty: a new one, removed if all is well.
+// Starts all of it, waits, checks. `keep`: the folder of the traces; empty: a new one, removed if all is
+// well.
 struct RunOptions {
   std::string scenario_file;
   std::string report;
   std::string trace_dir;
   std::string edge_program;
+  double slack_s = 0.02;  // as of check_traces
 };
 int run_all(const RunOptions& options);
 
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -1,5 +1,5 @@
-// A scenario of the lab: who takes part, what load there is, what goes wrong and when. One YAML file, every key
-// checked; docs/lab.md lists them.
+// A scenario of the lab: who takes part, what load there is, what goes wrong and when. One YAML file, every
+// key checked; docs/lab.md lists them.
 #ifndef MINTROCK_SRC_LAB_SCENARIO_HPP_
 #define MINTROCK_SRC_LAB_SCENARIO_HPP_
 
@@ -47,8 +47,8 @@
   struct Class {
     std::string name;
     std::uint32_t service_identifier = 0;
-    double share = 1;     // of the calls
-    double hold_s = 5;    // mean time that a call stands
+    double share = 1;   // of the calls
+    double hold_s = 5;  // mean time that a call stands
     Settings::Class told;
   };
   std::string name;
@@ -64,10 +64,10 @@
   double abandon_share = 0;     // of the callers who hang up before the answer
   double setup_work_s = 0.008;  // processor time of a set-up, mean
   double release_work_s = 0.002;
-  double full_after_s = 2;      // a set-up that would wait longer is turned away
-  double list_delay_s = 1;      // from a change to its news
-  double reports_every_s = 0.2; // a core server's report is refreshed
-  double watchdog_s = 6;        // Tw of proxies and callers
+  double full_after_s = 2;       // a set-up that would wait longer is turned away
+  double list_delay_s = 1;       // from a change to its news
+  double reports_every_s = 0.2;  // a core server's report is refreshed
+  double watchdog_s = 6;         // Tw of proxies and callers
   bool core_watchdog = false;
   std::string log_level = "warning";
   std::vector<Class> classes;
@@ -82,7 +82,7 @@
 const char* name(Event::Kind kind);
 
 // Names of the parts.
-std::string core_name(std::uint32_t number);    // its Diameter identity
+std::string core_name(std::uint32_t number);  // its Diameter identity
 std::string proxy_name(std::uint32_t number);
 std::string caller_name(std::uint32_t number);
 inline constexpr const char* kRealm = "lab.test";
--- a/src/lab/trace.hpp
+++ b/src/lab/trace.hpp
@@ -22,12 +22,12 @@
   std::ofstream out_;
 };
 
-// Reads a whole trace; throws std::runtime_error naming the file and the place if it is broken, but for a last
-// record that is cut: a process may have been killed while it wrote.
+// Reads a whole trace; throws std::runtime_error naming the file and the place if it is broken, but for a
+// last record that is cut: a process may have been killed while it wrote.
 std::vector<v1::Record> read_trace(const std::string& path);
 
-// Writes frames as a pcap file (LINKTYPE_IPV4, TCP segments made up from the connections' ports), for decoders
-// of others. Each Diameter frame is one segment. Returns how many there are.
+// Writes frames as a pcap file (LINKTYPE_IPV4, TCP segments made up from the connections' ports), for
+// decoders of others. Each Diameter frame is one segment. Returns how many there are.
 std::size_t write_pcap(const std::vector<v1::Record>& records, const std::string& path);
 
 }  // namespace mintrock::lab
--- a/src/list/client.hpp
+++ b/src/list/client.hpp
@@ -20,7 +20,8 @@
     std::function<void(const std::string& why)> on_failed;  // the subscription broke, or could not be had
   };
 
-  Client(net::Loop& loop, net::Address server, std::string path, double reconnect_s, double idle_s, Handlers handlers);
+  Client(net::Loop& loop, net::Address server, std::string path, double reconnect_s, double idle_s,
+         Handlers handlers);
   ~Client();
   Client(const Client&) = delete;
 
--- a/src/list/pool_list.cpp
+++ b/src/list/pool_list.cpp
@@ -62,7 +62,8 @@
   if (entry.state != ServerEntry::State::kGone) entry.address = text("address");
   const double node = number(from, "node", 0, 4294967295.0);
   const double kind = number(from, "kind", 0, 4294967295.0);
-  if (node != std::floor(node) || kind != std::floor(kind)) throw std::runtime_error("node or kind is no whole number");
+  if (node != std::floor(node) || kind != std::floor(kind))
+    throw std::runtime_error("node or kind is no whole number");
   entry.node = static_cast<std::uint32_t>(node);
   entry.kind = static_cast<std::uint32_t>(kind);
   entry.weight = number(from, "weight", 1, 1e9);
@@ -82,7 +83,8 @@
   }
   news.revision = revision->get<std::uint64_t>();
   const std::string mode = parsed.value("mode", json("")).is_string() ? parsed.value("mode", "") : "";
-  if (mode != "full" && mode != "delta") throw std::runtime_error("the list's mode is neither full nor delta");
+  if (mode != "full" && mode != "delta")
+    throw std::runtime_error("the list's mode is neither full nor delta");
   news.full = mode == "full";
   const auto entries = parsed.find("entries");
   if (entries == parsed.end() || !entries->is_array() || entries->size() > kMostEntries) {
@@ -112,7 +114,8 @@
                        {"state", name(entry.state)},
                        {"started_at", entry.started_at}});
   }
-  return json{{"revision", news.revision}, {"mode", news.full ? "full" : "delta"}, {"entries", entries}}.dump();
+  return json{{"revision", news.revision}, {"mode", news.full ? "full" : "delta"}, {"entries", entries}}
+      .dump();
 }
 
 bool Book::take(const News& news) {
--- a/src/list/pool_list.hpp
+++ b/src/list/pool_list.hpp
@@ -1,5 +1,5 @@
-// The pool list: what it says of the core servers, read and checked, merged and kept under the numbers that the
-// decisions use.
+// The pool list: what it says of the core servers, read and checked, merged and kept under the numbers that
+// the decisions use.
 //
 // Pure: text and times in, news out. docs/edge-design.md has the form of the text.
 #ifndef MINTROCK_SRC_LIST_POOL_LIST_HPP_
--- a/src/list/sse.hpp
+++ b/src/list/sse.hpp
@@ -1,6 +1,7 @@
 // Server-Sent Events: a stream of text cut into events (WHATWG HTML, section 9.2.6).
 //
-// Pure: bytes in, events out. A line or an event longer than the bound is dropped whole, with a word about it.
+// Pure: bytes in, events out. A line or an event longer than the bound is dropped whole, with a word about
+// it.
 #ifndef MINTROCK_SRC_LIST_SSE_HPP_
 #define MINTROCK_SRC_LIST_SSE_HPP_
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -111,7 +111,8 @@
   auto each = std::make_unique<SignalWatch>();
   each->fn = std::move(fn);
   ev_signal_init(
-      &each->watch, [](struct ev_loop*, ev_signal* w, int) { static_cast<SignalWatch*>(w->data)->fn(); }, signal);
+      &each->watch, [](struct ev_loop*, ev_signal* w, int) { static_cast<SignalWatch*>(w->data)->fn(); },
+      signal);
   each->watch.data = each.get();
   ev_signal_start(loop_, &each->watch);
   signals_.push_back(std::move(each));
@@ -314,15 +315,16 @@
   }
   local_ = local_of(fd_);
   ev_init(&io_, [](struct ev_loop*, ev_io* w, int) {
-      Listener& self = *static_cast<Listener*>(w->data);
-      for (int i = 0; i < 64; ++i) {  // the rest in the next turn
-        sockaddr_in from{};
-        socklen_t size = sizeof from;
-        const int fd = accept4(self.fd_, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd < 0) return;
-        self.on_accept_(fd, from_sockaddr(from));
-      }
-    });
+    Listener& self = *static_cast<Listener*>(w->data);
+    for (int i = 0; i < 64; ++i) {  // the rest in the next turn
+      sockaddr_in from{};
+      socklen_t size = sizeof from;
+      const int fd =
+          accept4(self.fd_, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0) return;
+      self.on_accept_(fd, from_sockaddr(from));
+    }
+  });
   ev_io_set(&io_, fd_, EV_READ);
   io_.data = this;
   ev_io_start(loop_.raw(), &io_);
@@ -335,7 +337,8 @@
 
 // ---- Datagrams ----
 
-Datagrams::Datagrams(Loop& loop, const Address& at, std::function<void(std::string_view, Address)> on_datagram)
+Datagrams::Datagrams(Loop& loop, const Address& at,
+                     std::function<void(std::string_view, Address)> on_datagram)
     : loop_(loop), on_datagram_(std::move(on_datagram)) {
   fd_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd_ < 0) fail_with("socket");
@@ -348,18 +351,18 @@
   }
   local_ = local_of(fd_);
   ev_init(&io_, [](struct ev_loop*, ev_io* w, int) {
-      Datagrams& self = *static_cast<Datagrams*>(w->data);
-      DatagramBuffer buffer;
-      for (int i = 0; i < 64; ++i) {
-        sockaddr_in from{};
-        socklen_t size = sizeof from;
-        const ssize_t got = recvfrom(self.fd_, buffer.data(), buffer.size(), MSG_TRUNC,
-                                     reinterpret_cast<sockaddr*>(&from), &size);
-        if (got < 0) return;
-        if (static_cast<std::size_t>(got) > buffer.size()) continue;  // longer than any of ours
-        self.on_datagram_(std::string_view(buffer.data(), static_cast<std::size_t>(got)), from_sockaddr(from));
-      }
-    });
+    Datagrams& self = *static_cast<Datagrams*>(w->data);
+    DatagramBuffer buffer;
+    for (int i = 0; i < 64; ++i) {
+      sockaddr_in from{};
+      socklen_t size = sizeof from;
+      const ssize_t got = recvfrom(self.fd_, buffer.data(), buffer.size(), MSG_TRUNC,
+                                   reinterpret_cast<sockaddr*>(&from), &size);
+      if (got < 0) return;
+      if (static_cast<std::size_t>(got) > buffer.size()) continue;  // longer than any of ours
+      self.on_datagram_(std::string_view(buffer.data(), static_cast<std::size_t>(got)), from_sockaddr(from));
+    }
+  });
   ev_io_set(&io_, fd_, EV_READ);
   io_.data = this;
   ev_io_start(loop_.raw(), &io_);
@@ -372,7 +375,8 @@
 
 void Datagrams::send(std::string_view bytes, const Address& to) {
   const sockaddr_in address = to_sockaddr(to);
-  sendto(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  sendto(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&address),
+         sizeof address);
 }
 
 }  // namespace mintrock::net
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -1,4 +1,5 @@
-// The event loop (libev) of one thread: timers, signals, streams, listeners and datagrams on loopback sockets.
+// The event loop (libev) of one thread: timers, signals, streams, listeners and datagrams on loopback
+// sockets.
 //
 // Writes are gathered and go out once a turn, just before the loop waits: many messages, one system call.
 #ifndef MINTROCK_SRC_NET_LOOP_HPP_
@@ -44,15 +45,19 @@
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
 
-  void run();   // until stop()
+  void run();  // until stop()
   void stop();
   double now() const { return monotonic_now(); }
   Timers& timers() { return timers_; }
-  TimerId after(double seconds, std::function<void()> fn) { return timers_.at(now() + seconds, std::move(fn)); }
+  TimerId after(double seconds, std::function<void()> fn) {
+    return timers_.at(now() + seconds, std::move(fn));
+  }
   // Calls `fn` at the end of this turn: for what must not happen inside a callback of its own object.
   void defer(std::function<void()> fn) { deferred_.push_back(std::move(fn)); }
   void on_signal(int signal, std::function<void()> fn);
-  struct ev_loop* raw() { return loop_; }
+  struct ev_loop* raw() {
+    return loop_;
+  }
 
  private:
   friend class Stream;
@@ -72,7 +77,7 @@
 class Stream : public std::enable_shared_from_this<Stream> {
  public:
   struct Handlers {
-    std::function<void()> on_connected;                // outgoing ones only
+    std::function<void()> on_connected;  // outgoing ones only
     std::function<void(std::string_view)> on_bytes;
     std::function<void(const std::string& why)> on_closed;  // refused, closed by the other side, or a fault
   };
@@ -84,8 +89,8 @@
 
   void set(Handlers handlers) { handlers_ = std::make_shared<const Handlers>(std::move(handlers)); }
   void write(std::string_view bytes);
-  void close();                // at once; what was not sent is lost
-  void close_after_flush();    // once what was written has gone, or after a second
+  void close();              // at once; what was not sent is lost
+  void close_after_flush();  // once what was written has gone, or after a second
   // Closes with a reset, as a process that dies does.
   void reset();
   bool is_open() const { return fd_ >= 0; }
