--- a/src/edge/core_side.cpp
+++ b/src/edge/core_side.cpp
@@ -153,7 +153,7 @@
 void CoreSide::transmit(Server& server, CallId call, std::uint32_t attempt, double give_up_after_s,
                         RecordPtr record, const std::string& from_peer) {
   const std::uint32_t hop = server.link->peer().next_hop_by_hop();
-  server.legs[record->session_id] = {call, attempt, false, record, from_peer};
+  server.legs[record->session_id] = {call, attempt, false, hop, record, from_peer};
   server.link->send(
       write_setup(*record, server.entry.identity, from_peer, hop, attempt > 0, give_up_after_s));
   server.pending[hop] = {record->session_id, call, attempt, false, false, 0, record, from_peer};
@@ -172,14 +172,8 @@
   }
   const auto leg = server->legs.find(record->session_id);
   if (leg == server->legs.end() || leg->second.call != call || leg->second.attempt != attempt) return;
+  give_up(*server, leg->second);
   server->legs.erase(leg);
-  for (auto& [hop, each] : server->pending) {
-    if (each.call == call && each.attempt == attempt && !each.release) {
-      each.given_up = true;
-      linger(*server, hop);
-      break;
-    }
-  }
   send_release(*server, record, from_peer);
 }
 
@@ -212,14 +206,24 @@
   }
 }
 
+// Nobody waits for the answer of its set-up any more, if it is still to come.
+void CoreSide::give_up(Server& server, const Leg& leg) {
+  const auto found = server.pending.find(leg.hop_by_hop);
+  if (found == server.pending.end() || found->second.release) return;
+  found->second.given_up = true;
+  linger(server, leg.hop_by_hop);
+}
+
 // Answers that nobody waits for are known for a while, and not more than a bound of them.
 void CoreSide::linger(Server& server, std::uint32_t hop) {
   const double now = loop_.now();
   server.lingering.emplace_back(now + config_.core.linger_s, hop);
-  while (!server.lingering.empty() &&
-         (server.lingering.front().first <= now || server.lingering.size() > kMostLingering)) {
+  while (!server.lingering.empty()) {
     const auto found = server.pending.find(server.lingering.front().second);
-    if (found != server.pending.end() && found->second.given_up) server.pending.erase(found);
+    const bool answered = found == server.pending.end() || !found->second.given_up;
+    const bool over = server.lingering.front().first <= now || server.lingering.size() > kMostLingering;
+    if (!answered && !over) break;
+    if (!answered) server.pending.erase(found);
     server.lingering.pop_front();
   }
 }
@@ -348,13 +352,7 @@
   }
   const Leg leg = found->second;
   server.legs.erase(found);
-  for (auto& [hop, each] : server.pending) {
-    if (each.call == leg.call && each.attempt == leg.attempt && !each.release) {
-      each.given_up = true;
-      linger(server, hop);
-      break;
-    }
-  }
+  give_up(server, leg);
   server.link->send(write_success(view, local_));
   ports_.core_ended(leg.call, leg.attempt, outcome_only(Outcome::kReset));
 }
--- a/src/edge/core_side.hpp
+++ b/src/edge/core_side.hpp
@@ -76,6 +76,7 @@
     CallId call = 0;
     std::uint32_t attempt = 0;
     bool stands = false;
+    std::uint32_t hop_by_hop = 0;  // of its set-up
     RecordPtr record;
     std::string from_peer;
   };
@@ -126,6 +127,7 @@
   void send_release(Server& server, const RecordPtr& record, const std::string& from_peer);
   void owe(Server& server, RecordPtr record, const std::string& from_peer);
   void pay(Server& server, bool same_process);
+  void give_up(Server& server, const Leg& leg);
   void linger(Server& server, std::uint32_t hop_by_hop);
   void on_up(Server& server);
   void on_down(Server& server, const std::string& why);
--- /dev/null
+++ b/src/lab/bench.cpp
@@ -0,0 +1,372 @@
+#include "lab/bench.hpp"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+#include "diameter/dictionary.hpp"
+#include "diameter/peer.hpp"
+#include "edge/credit_control.hpp"
+#include "lab/line.hpp"
+#include "lab/process.hpp"
+#include "lab/scenario.hpp"
+#include "list/pool_list.hpp"
+
+namespace mintrock::lab {
+namespace {
+
+namespace avp = diameter::avp;
+using diameter::Builder;
+using diameter::Header;
+using diameter::MessageView;
+
+constexpr const char* kCore = "core-0.lab.test";
+
+void put_u32(std::string& frame, std::size_t at, std::uint32_t value) {
+  for (int i = 0; i < 4; ++i)
+    frame[at + static_cast<std::size_t>(i)] = static_cast<char>(value >> (24 - 8 * i));
+}
+
+std::string cea_for(const MessageView& cer, const std::string& host) {
+  Builder cea(diameter::answer_header(cer.header, false));
+  cea.u32(avp::kResultCode, diameter::kSuccess);
+  write_capabilities(cea, host, 1);
+  return cea.finish();
+}
+
+std::string cer_of(const std::string& host) {
+  Header header;
+  header.flags = diameter::kRequest;
+  header.command = diameter::kCapabilitiesExchange;
+  header.hop_by_hop = 1;
+  Builder cer(header);
+  write_capabilities(cer, host, 1);
+  return cer.finish();
+}
+
+// Sends calls over one connection: set up, and ended as soon as they stand.
+class Generator {
+ public:
+  struct Result {
+    double rate = 0;  // calls that stood, a second
+    std::uint64_t refused = 0;
+    std::vector<double> delays;  // s, sorted
+    double delay(double quantile) const {
+      if (delays.empty()) return 0;
+      return delays[std::min(delays.size() - 1,
+                             static_cast<std::size_t>(quantile * static_cast<double>(delays.size())))];
+    }
+  };
+
+  Generator(std::uint16_t port, std::string name) : name_(std::move(name)) {
+    Line::Handlers handlers;
+    handlers.on_open = [this] { line_->send(cer_of(name_)); };
+    handlers.on_message = [this](const MessageView& view) { message(view); };
+    handlers.on_closed = [this](const std::string& why) {
+      std::fprintf(stderr, "mintrock-lab: connection of the measurement closed: %s\n", why.c_str());
+      loop_.stop();
+    };
+    line_ = std::make_unique<Line>(loop_, net::Stream::connect(loop_, {0x7F000001, port}, 64 << 20), trace_,
+                                   name_, 1, std::move(handlers));
+    loop_.run();
+    if (!ready_) throw std::runtime_error("the measured part takes no connection");
+  }
+
+  // As many calls as can be with so many at once.
+  Result closed(std::uint32_t outstanding, double seconds) {
+    begin(seconds);
+    closed_ = true;
+    for (std::uint32_t i = 0; i < outstanding; ++i) dial();
+    return finish(seconds);
+  }
+  // So many calls a second, evenly spaced.
+  Result open(double rate, double seconds) {
+    begin(seconds);
+    closed_ = false;
+    const double start = loop_.now();
+    std::uint64_t sent = 0;
+    std::function<void()> tick = [&] {
+      const double now = loop_.now();
+      if (now >= until_) return;
+      while (static_cast<double>(sent) < (now - start) * rate) {
+        dial();
+        sent += 1;
+      }
+      loop_.timers().at(start + static_cast<double>(sent + 1) / rate, tick);
+    };
+    tick();
+    return finish(seconds);
+  }
+
+ private:
+  void begin(double seconds) {
+    result_ = {};
+    until_ = loop_.now() + seconds;
+  }
+  Result finish(double seconds) {
+    loop_.timers().at(until_ + 0.3, [this] { loop_.stop(); });
+    loop_.run();
+    result_.rate = static_cast<double>(result_.delays.size()) / seconds;
+    std::sort(result_.delays.begin(), result_.delays.end());
+    open_.clear();
+    return std::move(result_);
+  }
+
+  std::string request(const std::string& session, std::uint32_t type) {
+    Header header;
+    header.flags = diameter::kRequest | diameter::kProxiable;
+    header.command = diameter::kCreditControl;
+    header.application = diameter::kApplicationCreditControl;
+    header.hop_by_hop = ++hop_;
+    header.end_to_end = hop_;
+    Builder out(header);
+    out.text(avp::kSessionId, session).text(avp::kOriginHost, name_).text(avp::kOriginRealm, kRealm);
+    out.text(avp::kDestinationRealm, kRealm).u32(avp::kAuthApplicationId, 4);
+    out.text(avp::kServiceContextId, "calls@lab.test").u32(avp::kCcRequestType, type);
+    out.u32(avp::kCcRequestNumber, type == diameter::kInitial ? 0 : 1).text(avp::kDestinationHost, kCore);
+    if (type == diameter::kInitial) {
+      out.text(avp::kCalledStationId, std::to_string(hop_)).u32(avp::kServiceIdentifier, 1);
+      out.u32(avp::kMaximumWaitTime, 5000);
+    }
+    return out.finish();
+  }
+
+  void dial() {
+    std::string session = name_ + ";" + std::to_string(++calls_);
+    const std::string frame = request(session, diameter::kInitial);
+    open_.emplace(std::move(session), loop_.now());
+    line_->send(frame);
+  }
+
+  void message(const MessageView& view) {
+    if (view.header.command == diameter::kCapabilitiesExchange) {
+      ready_ = true;
+      return loop_.stop();
+    }
+    if (view.header.request()) {
+      if (view.header.command == diameter::kDeviceWatchdog) {
+        Builder dwa(diameter::answer_header(view.header, false));
+        dwa.u32(avp::kResultCode, diameter::kSuccess)
+            .text(avp::kOriginHost, name_)
+            .text(avp::kOriginRealm, kRealm);
+        line_->send(dwa.finish());
+      }
+      return;
+    }
+    if (edge::request_type(view) != diameter::kInitial) return;
+    const std::string session = edge::session_of(view);
+    const auto found = open_.find(session);
+    if (found == open_.end()) return;
+    const double now = loop_.now();
+    const auto* code = view.find(avp::kResultCode.code);
+    if (code != nullptr && diameter::as_u32(*code) == diameter::kSuccess) {
+      if (now < until_) result_.delays.push_back(now - found->second);
+      line_->send(request(session, diameter::kTermination));
+    } else {
+      result_.refused += 1;
+    }
+    open_.erase(found);
+    if (closed_ && now < until_) dial();
+  }
+
+  net::Loop loop_;
+  TraceWriter trace_{""};
+  std::string name_;
+  std::unique_ptr<Line> line_;
+  bool ready_ = false;
+  bool closed_ = false;
+  double until_ = 0;
+  std::uint32_t hop_ = 0;
+  std::uint64_t calls_ = 0;
+  std::unordered_map<std::string, double> open_;
+  Result result_;
+};
+
+std::string edge_config(std::uint16_t port, std::uint16_t admin, std::uint16_t nobody,
+                        const std::string& dir) {
+  const auto at = [](std::uint16_t p) { return "\"127.0.0.1:" + std::to_string(p) + "\""; };
+  return std::string("node: {identity: edge-0.lab.test, realm: lab.test, listen: ") + at(port) +
+         ", admin: " + at(admin) + "}\nlist: {server: " + at(nobody) + ", cache_file: \"" + dir +
+         "/list.json\", reconnect: 60s}\n" +
+         "classes: [{name: a, service_identifier: 1, aim: 2s, deadline: 9s}]\n"
+         "rules: {release_wait: 500ms, attempt_limit: 4, max_retry_after: 2s}\n"
+         "limits: {calls: 200000}\nlog: {level: error, file: \"" +
+         dir + "/edge.log\"}\n";
+}
+
+double median(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  return values[values.size() / 2];
+}
+
+}  // namespace
+
+int run_bench_core(std::uint16_t port) {
+  net::Loop loop;
+  TraceWriter trace("");
+  std::map<std::uint64_t, std::unique_ptr<Line>> lines;
+  std::uint64_t last = 0;
+  diameter::LocalNode local;
+  local.host = kCore;
+  local.realm = kRealm;
+  net::Listener listener(loop, {0x7F000001, port}, [&](int fd, net::Address from) {
+    const std::uint64_t id = ++last;
+    Line::Handlers handlers;
+    handlers.on_message = [&, id](const MessageView& view) {
+      if (!view.header.request()) return;
+      const bool cer = view.header.command == diameter::kCapabilitiesExchange;
+      lines.at(id)->send(cer ? cea_for(view, kCore) : edge::write_success(view, local));
+    };
+    handlers.on_closed = [&, id](const std::string&) { loop.defer([&, id] { lines.erase(id); }); };
+    lines[id] = std::make_unique<Line>(loop, net::Stream::adopt(loop, fd, from, 64 << 20), trace, kCore, id,
+                                       std::move(handlers));
+  });
+  loop.on_signal(SIGTERM, [&] { loop.stop(); });
+  loop.run();
+  return 0;
+}
+
+// The least that a relay must do: find the message's session and where it goes, give it an id of its own on
+// the way there, and the first one back on the way here.
+int run_bench_relay(std::uint16_t port, std::uint16_t to) {
+  net::Loop loop;
+  TraceWriter trace("");
+  struct Way {
+    std::uint64_t line;
+    std::uint32_t hop_by_hop;
+    std::string session;
+  };
+  std::map<std::uint64_t, std::unique_ptr<Line>> callers;
+  std::unordered_map<std::uint32_t, Way> ways;
+  std::uint64_t last = 0;
+  std::uint32_t hop = 0;
+  const auto frame_of = [](const MessageView& view) {
+    return std::string(view.avps.front().whole.data() - diameter::kHeaderSize, view.header.length);
+  };
+  std::unique_ptr<Line> core;
+  Line::Handlers from_core;
+  from_core.on_open = [&] { core->send(cer_of("relay.lab.test")); };
+  from_core.on_message = [&](const MessageView& view) {
+    const auto way = ways.find(view.header.hop_by_hop);
+    if (view.header.request() || way == ways.end()) return;
+    const auto caller = callers.find(way->second.line);
+    if (caller != callers.end() && way->second.session == edge::session_of(view)) {
+      std::string frame = frame_of(view);
+      put_u32(frame, 12, way->second.hop_by_hop);
+      caller->second->send(frame);
+    }
+    ways.erase(way);
+  };
+  from_core.on_closed = [&](const std::string&) { loop.stop(); };
+  core = std::make_unique<Line>(loop, net::Stream::connect(loop, {0x7F000001, to}, 64 << 20), trace, "relay",
+                                0, std::move(from_core));
+  net::Listener listener(loop, {0x7F000001, port}, [&](int fd, net::Address from) {
+    const std::uint64_t id = ++last;
+    Line::Handlers handlers;
+    handlers.on_message = [&, id](const MessageView& view) {
+      if (!view.header.request()) return;
+      if (view.header.command == diameter::kCapabilitiesExchange) {
+        return callers.at(id)->send(cea_for(view, "relay.lab.test"));
+      }
+      std::string frame = frame_of(view);
+      put_u32(frame, 12, ++hop);
+      ways[hop] = {id, view.header.hop_by_hop, edge::session_of(view)};
+      core->send(frame);
+    };
+    handlers.on_closed = [&, id](const std::string&) { loop.defer([&, id] { callers.erase(id); }); };
+    callers[id] = std::make_unique<Line>(loop, net::Stream::adopt(loop, fd, from, 64 << 20), trace, "relay",
+                                         id, std::move(handlers));
+  });
+  loop.on_signal(SIGTERM, [&] { loop.stop(); });
+  loop.run();
+  return 0;
+}
+
+int run_bench(const BenchOptions& options) {
+  std::string pattern = (std::filesystem::temp_directory_path() / "mintrock-bench-XXXXXX").string();
+  if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder can be made");
+  const std::string dir = pattern;
+  PortFinder ports;
+  const std::uint16_t core = ports.next(), relay = ports.next(), edge = ports.next(), admin = ports.next(),
+                      nobody = ports.next();
+  mintrock::list::News news;
+  news.entries = {{kCore, "127.0.0.1:" + std::to_string(core)}};
+  std::ofstream(dir + "/list.json") << mintrock::list::print_news(news);
+  std::ofstream(dir + "/edge.yaml") << edge_config(edge, admin, nobody, dir);
+  Children children;
+  children.spawn({"/proc/self/exe", "bench-core", "--port", std::to_string(core)});
+  wait_for_port(core);
+  children.spawn(
+      {"/proc/self/exe", "bench-relay", "--port", std::to_string(relay), "--to", std::to_string(core)});
+  children.spawn({options.edge_program, "--config", dir + "/edge.yaml"});
+  wait_for_port(relay);
+  wait_for_port(edge);
+  struct Target {
+    const char* name;
+    std::uint16_t port;
+    std::vector<double> rates, p50, p99, p999;
+    std::uint64_t refused = 0;
+  };
+  Target targets[] = {
+      {"none", core, {}, {}, {}, {}}, {"relay", relay, {}, {}, {}, {}}, {"edge", edge, {}, {}, {}, {}}};
+  double half = 0;
+  std::vector<std::unique_ptr<Generator>> generators;
+  for (Target& target : targets) {
+    generators.push_back(
+        std::make_unique<Generator>(target.port, "bench-" + std::string(target.name) + ".lab.test"));
+    // The proxy lets traffic to a server grow as it answers: up to speed before anything counts.
+    for (const std::uint32_t some : {1u, 4u, 16u, options.outstanding}) generators.back()->closed(some, 0.5);
+  }
+  for (std::uint32_t round = 0; round < options.rounds; ++round) {
+    for (std::size_t i = 0; i < 3; ++i) {
+      const Generator::Result best = generators[i]->closed(options.outstanding, options.seconds);
+      targets[i].rates.push_back(best.rate);
+      targets[i].refused += best.refused;
+    }
+    if (round == 0) half = targets[2].rates[0] / 2;
+    for (std::size_t i = 0; i < 3; ++i) {
+      const Generator::Result calm = generators[i]->open(half, options.seconds);
+      targets[i].p50.push_back(calm.delay(0.5));
+      targets[i].p99.push_back(calm.delay(0.99));
+      targets[i].p999.push_back(calm.delay(0.999));
+      targets[i].refused += calm.refused;
+    }
+  }
+  nlohmann::ordered_json json;
+  std::printf("%-6s %12s %8s | at %.0f calls/s: p50, p99, p99.9 us\n", "", "calls/s", "refused", half);
+  for (const Target& t : targets) {
+    std::printf("%-6s %12.0f %8llu | %.0f %.0f %.0f\n", t.name, median(t.rates),
+                static_cast<unsigned long long>(t.refused), median(t.p50) * 1e6, median(t.p99) * 1e6,
+                median(t.p999) * 1e6);
+    json[t.name] = {{"calls_per_s", t.rates},
+                    {"refused", t.refused},
+                    {"p50_s", t.p50},
+                    {"p99_s", t.p99},
+                    {"p999_s", t.p999}};
+  }
+  std::printf(
+      "edge over relay: %.2f of its rate; added over no proxy at %.0f calls/s: p50 %.0f us, p99 %.0f us, "
+      "p99.9 %.0f us\n",
+      median(targets[2].rates) / median(targets[1].rates), half,
+      (median(targets[2].p50) - median(targets[0].p50)) * 1e6,
+      (median(targets[2].p99) - median(targets[0].p99)) * 1e6,
+      (median(targets[2].p999) - median(targets[0].p999)) * 1e6);
+  if (!options.report.empty()) std::ofstream(options.report) << json.dump(2) << "\n";
+  children.stop();
+  std::filesystem::remove_all(dir);
+  return 0;
+}
+
+}  // namespace mintrock::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "config/yaml.hpp"
+#include "lab/bench.hpp"
 #include "lab/checker.hpp"
 #include "lab/parts.hpp"
 #include "lab/trace.hpp"
@@ -86,6 +87,26 @@
     status = out.good() ? 0 : 1;
   });
 
+  lab::BenchOptions bench;
+  CLI::App* measure = app.add_subcommand("bench", "what the proxy costs, beside a bare relay");
+  measure->add_option("--edge", bench.edge_program, "the mintrock-edge to measure");
+  measure->add_option("--seconds", bench.seconds, "of each measurement")->check(CLI::Range(0.1, 600.0));
+  measure->add_option("--rounds", bench.rounds, "of all measurements, in turns")->check(CLI::Range(1, 1000));
+  measure->add_option("--outstanding", bench.outstanding, "calls at once")->check(CLI::Range(1, 100000));
+  measure->add_option("--report", bench.report, "write the figures there, as JSON");
+  measure->callback([&] {
+    if (bench.edge_program.empty()) bench.edge_program = beside("mintrock-edge");
+    status = lab::run_bench(bench);
+  });
+  std::uint16_t port = 0, to = 0;
+  CLI::App* bench_core = app.add_subcommand("bench-core", "a core server of `bench`")->group("");
+  bench_core->add_option("--port", port)->required();
+  bench_core->callback([&] { status = lab::run_bench_core(port); });
+  CLI::App* bench_relay = app.add_subcommand("bench-relay", "the bare relay of `bench`")->group("");
+  bench_relay->add_option("--port", port)->required();
+  bench_relay->add_option("--to", to)->required();
+  bench_relay->callback([&] { status = lab::run_bench_relay(port, to); });
+
   try {
     CLI11_PARSE(app, argc, argv);
     return status;
--- /dev/null
+++ b/src/lab/process.cpp
@@ -0,0 +1,92 @@
+#include "lab/process.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+#include <stdexcept>
+#include <thread>
+
+namespace mintrock::lab {
+namespace {
+
+sockaddr_in loopback(std::uint16_t port) {
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(0x7F000001);
+  at.sin_port = htons(port);
+  return at;
+}
+
+}  // namespace
+
+pid_t spawn(const std::vector<std::string>& words) {
+  std::vector<char*> argv;
+  for (const std::string& each : words) argv.push_back(const_cast<char*>(each.c_str()));
+  argv.push_back(nullptr);
+  const pid_t pid = fork();
+  if (pid < 0) throw std::runtime_error("fork failed");
+  if (pid == 0) {
+    execv(argv[0], argv.data());
+    std::perror(argv[0]);
+    _exit(127);
+  }
+  return pid;
+}
+
+std::uint16_t PortFinder::next() {
+  for (int i = 0; i < 1000; ++i) {
+    const auto port = static_cast<std::uint16_t>(20000 + random_() % 12000);
+    if (given_.count(port) != 0) continue;
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in at = loopback(port);
+    const int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
+    close(fd);
+    if (!free) continue;
+    given_.insert(port);
+    return port;
+  }
+  throw std::runtime_error("no free port");
+}
+
+void wait_for_port(std::uint16_t port) {
+  for (int i = 0; i < 1000; ++i) {
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in at = loopback(port);
+    const bool there = connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
+    close(fd);
+    if (there) return;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  throw std::runtime_error("nobody listens on port " + std::to_string(port));
+}
+
+Children::~Children() {
+  for (const pid_t pid : pids_) kill(pid, SIGKILL);
+  for (const pid_t pid : pids_) waitpid(pid, nullptr, 0);
+}
+
+pid_t Children::spawn(const std::vector<std::string>& words) {
+  pids_.push_back(lab::spawn(words));
+  return pids_.back();
+}
+
+void Children::stop() {
+  for (const pid_t pid : pids_) kill(pid, SIGTERM);
+  for (int i = 0; i < 1500 && !pids_.empty(); ++i) {
+    for (std::size_t k = pids_.size(); k-- > 0;) {
+      if (waitpid(pids_[k], nullptr, WNOHANG) != 0)
+        pids_.erase(pids_.begin() + static_cast<std::ptrdiff_t>(k));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+}
+
+}  // namespace mintrock::lab
--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -1,17 +1,15 @@
 // Starts a whole installation, one process a part, plays the script and checks the rules.
 #include <signal.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <array>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
-#include <random>
+#include <set>
 #include <stdexcept>
 #include <thread>
 
@@ -19,6 +17,7 @@
 #include "lab/checker.hpp"
 #include "lab/line.hpp"
 #include "lab/parts.hpp"
+#include "lab/process.hpp"
 #include "lab/trace.hpp"
 
 namespace mintrock::lab {
@@ -30,38 +29,6 @@
 constexpr double kStartUp = 1.5;  // s from the start of the parts to the script's beginning
 constexpr double kGrace = 15;     // s for a part to stop
 
-// Below the ports that the system gives to outgoing connections, so that none of those takes one meanwhile.
-std::uint16_t free_port(std::mt19937& random) {
-  for (int i = 0; i < 1000; ++i) {
-    const auto port = static_cast<std::uint16_t>(20000 + random() % 12000);
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(0x7F000001);
-    at.sin_port = htons(port);
-    const int on = 1;
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
-    close(fd);
-    if (free) return port;
-  }
-  throw std::runtime_error("no free port");
-}
-
-pid_t spawn(const std::vector<std::string>& words) {
-  std::vector<char*> argv;
-  for (const std::string& each : words) argv.push_back(const_cast<char*>(each.c_str()));
-  argv.push_back(nullptr);
-  const pid_t pid = fork();
-  if (pid < 0) throw std::runtime_error("fork failed");
-  if (pid == 0) {
-    execv(argv[0], argv.data());
-    std::perror(argv[0]);
-    _exit(127);
-  }
-  return pid;
-}
-
 std::string yaml_time(double seconds) { return std::to_string(seconds) + "s"; }
 
 std::string proxy_config(const Scenario& s, const RunFile& run, std::uint32_t number,
@@ -118,13 +85,13 @@
     std::error_code ignored;
     fs::copy_file(options_.scenario_file, dir_ + "/scenario.yaml", fs::copy_options::overwrite_existing,
                   ignored);
-    std::mt19937 random(std::random_device{}());
-    run_.list = free_port(random);
-    for (std::uint32_t i = 0; i < scenario_.cores; ++i) run_.cores.push_back(free_port(random));
+    PortFinder ports;
+    run_.list = ports.next();
+    for (std::uint32_t i = 0; i < scenario_.cores; ++i) run_.cores.push_back(ports.next());
     for (std::uint32_t i = 0; i < scenario_.proxies; ++i) {
-      run_.proxies.push_back(free_port(random));
-      run_.admins.push_back(free_port(random));
-      run_.fleet.push_back(free_port(random));
+      run_.proxies.push_back(ports.next());
+      run_.admins.push_back(ports.next());
+      run_.fleet.push_back(ports.next());
     }
     run_.epoch = net::monotonic_now() + kStartUp;
     run_.epoch_wall = net::wall_now() + kStartUp;
--- a/src/lab/trace.hpp
+++ b/src/lab/trace.hpp
@@ -15,6 +15,7 @@
  public:
   // An empty path writes nothing.
   explicit TraceWriter(const std::string& path);
+  bool on() const { return out_.is_open(); }
   void write(const v1::Record& record);
   void flush() { out_.flush(); }
 
