Call path: fewer allocations; whom a call came from stands in its record

Change: timers are named by their key and need no index; the peer stands in the call's record in place of copies in four tables; fronts hold the caller in place of its name; AVPs are looked up in a table.

--- a/src/diameter/dictionary.cpp
+++ b/src/diameter/dictionary.cpp
@@ -139,6 +139,7 @@
 }
 
 constexpr int kDeepest = 4;
+constexpr std::uint32_t kTableSize = 1024;  // every code of base and own AVPs is below
 
 std::optional<Fault> fault(std::uint32_t code, const AvpView& avp, const std::string& what) {
   const AvpDef* def = find_avp(avp.code, avp.vendor);
@@ -233,19 +234,20 @@
 }  // namespace
 
 const AvpDef* find_avp(std::uint32_t code, std::uint32_t vendor) {
-  // Sorted once; a look-up is on the path of every AVP.
-  static const auto kSorted = [] {
-    std::array<AvpDef, std::size(kAll)> sorted{};
-    std::copy(std::begin(kAll), std::end(kAll), sorted.begin());
-    std::sort(sorted.begin(), sorted.end(), [](const AvpDef& a, const AvpDef& b) {
-      return a.vendor != b.vendor ? a.vendor < b.vendor : a.code < b.code;
-    });
-    return sorted;
+  // By code, for base and own AVPs: a look-up is on the path of every AVP.
+  static const auto kTables = [] {
+    std::array<std::array<const AvpDef*, kTableSize>, 2> tables{};
+    for (const AvpDef& def : kAll) {
+      if (def.code < kTableSize && (def.vendor == 0 || def.vendor == kVendorOwn)) {
+        tables[def.vendor == 0 ? 0 : 1][def.code] = &def;
+      }
+    }
+    return tables;
   }();
-  const auto found =
-      std::lower_bound(kSorted.begin(), kSorted.end(), std::pair(vendor, code),
-                       [](const AvpDef& a, const auto& key) { return std::pair(a.vendor, a.code) < key; });
-  return found != kSorted.end() && found->code == code && found->vendor == vendor ? &*found : nullptr;
+  if (vendor == 0 || vendor == kVendorOwn)
+    return code < kTableSize ? kTables[vendor == 0 ? 0 : 1][code] : nullptr;
+  const AvpDef& wait = avp::kMaximumWaitTime;
+  return code == wait.code && vendor == wait.vendor ? &wait : nullptr;
 }
 
 bool well_formed(const AvpView& avp) { return !check_avp(avp, 0); }
--- a/src/edge/call_desk.cpp
+++ b/src/edge/call_desk.cpp
@@ -48,13 +48,13 @@
   }
   Call& call = calls_[id];
   call.begun = now;
-  call.overdue = timers_.at(now + offer.ttl_s, [this, id, at = now + offer.ttl_s] {
+  call.overdue = timers_.at(now + offer.ttl_s, [this, id] {  // few bytes: no allocation
     const auto found = calls_.find(id);
     if (found == calls_.end()) return;
     found->second.overdue = 0;
     counts_.overdue += 1;
-    decide(at, CallAbandoned{id});
-    finish(id, {Verdict::Kind::kFailed, 0, 0, "overdue"}, at);
+    decide(timer_now_, CallAbandoned{id});
+    finish(id, {Verdict::Kind::kFailed, 0, 0, "overdue"}, timer_now_);
   });
   NewCall event;
   event.call = id;
--- a/src/edge/core_side.cpp
+++ b/src/edge/core_side.cpp
@@ -101,12 +101,12 @@
 }
 
 Handover CoreSide::send_setup(CallId call, std::uint32_t attempt, ServerId id, double give_up_after_s,
-                              RecordPtr record, const std::string& from_peer) {
+                              RecordPtr record) {
   Server* server = find(id);
   if (server == nullptr || !server->link || stopping_) return Handover::kNotSent;
   const diameter::Peer& peer = server->link->peer();
   if (peer.usable()) {
-    transmit(*server, call, attempt, give_up_after_s, std::move(record), from_peer);
+    transmit(*server, call, attempt, give_up_after_s, std::move(record));
     return Handover::kTaken;
   }
   if (peer.open()) return Handover::kNotSent;  // suspect: RFC 3539 sends nothing new there
@@ -115,8 +115,7 @@
   server->link->start();
   const double now = loop_.now();
   server->queued.push_back({call, attempt, now + give_up_after_s,
-                            now + std::min(config_.core.connect_s, give_up_after_s), std::move(record),
-                            from_peer});
+                            now + std::min(config_.core.connect_s, give_up_after_s), std::move(record)});
   watch_queue(*server);
   return Handover::kTaken;
 }
@@ -151,16 +150,14 @@
 }
 
 void CoreSide::transmit(Server& server, CallId call, std::uint32_t attempt, double give_up_after_s,
-                        RecordPtr record, const std::string& from_peer) {
+                        RecordPtr record) {
   const std::uint32_t hop = server.link->peer().next_hop_by_hop();
-  server.legs[record->session_id] = {call, attempt, false, hop, record, from_peer};
-  server.link->send(
-      write_setup(*record, server.entry.identity, from_peer, hop, attempt > 0, give_up_after_s));
-  server.pending[hop] = {record->session_id, call, attempt, false, false, 0, record, from_peer};
+  server.legs[record->session_id] = {call, attempt, false, hop, record};
+  server.link->send(write_setup(*record, server.entry.identity, hop, attempt > 0, give_up_after_s));
+  server.pending[hop] = {call, attempt, false, false, 0, record};
 }
 
-void CoreSide::release(CallId call, std::uint32_t attempt, ServerId id, RecordPtr record,
-                       const std::string& from_peer) {
+void CoreSide::release(CallId call, std::uint32_t attempt, ServerId id, RecordPtr record) {
   Server* server = find(id);
   if (server == nullptr || record == nullptr) return;
   const auto queued = std::find_if(server->queued.begin(), server->queued.end(), [&](const Queued& each) {
@@ -174,27 +171,26 @@
   if (leg == server->legs.end() || leg->second.call != call || leg->second.attempt != attempt) return;
   give_up(*server, leg->second);
   server->legs.erase(leg);
-  send_release(*server, record, from_peer);
+  send_release(*server, record);
 }
 
-void CoreSide::send_release(Server& server, const RecordPtr& record, const std::string& from_peer) {
-  if (!server.link || !server.link->peer().open()) return owe(server, record, from_peer);
+void CoreSide::send_release(Server& server, const RecordPtr& record) {
+  if (!server.link || !server.link->peer().open()) return owe(server, record);
   diameter::Peer& peer = server.link->peer();
   const std::uint32_t hop = peer.next_hop_by_hop();
-  server.link->send(
-      write_termination(*record, server.entry.identity, from_peer, hop, peer.next_end_to_end()));
-  server.pending[hop] = {record->session_id, 0, 0, true, true, 0, record, from_peer};
+  server.link->send(write_termination(*record, server.entry.identity, hop, peer.next_end_to_end()));
+  server.pending[hop] = {0, 0, true, true, 0, record};
   linger(server, hop);
 }
 
 // Sessions outlive connections (RFC 6733 section 8). A release that met no connection, or whose answer was
 // lost with one, would leave its lines taken for good at a server that only lost its connection.
-void CoreSide::owe(Server& server, RecordPtr record, const std::string& from_peer) {
+void CoreSide::owe(Server& server, RecordPtr record) {
   const double now = loop_.now();
   while (!server.owed.empty() && (server.owed.front().until <= now || server.owed.size() >= kMostLingering)) {
     server.owed.pop_front();
   }
-  server.owed.push_back({std::move(record), from_peer, now + config_.core.linger_s});
+  server.owed.push_back({std::move(record), now + config_.core.linger_s});
 }
 
 // Before anything new goes out: a session may be set up again under its old name.
@@ -202,7 +198,7 @@
   const double now = loop_.now();
   for (const Owed& each : std::exchange(server.owed, {})) {
     if (!same_process || each.until <= now || server.legs.count(each.record->session_id) != 0) continue;
-    send_release(server, each.record, each.from_peer);
+    send_release(server, each.record);
   }
 }
 
@@ -228,11 +224,10 @@
   }
 }
 
-bool CoreSide::pass_termination(const std::string& identity, const CallRecord& record,
-                                const std::string& from_peer) {
+bool CoreSide::pass_termination(const std::string& identity, const CallRecord& record) {
   for (auto& [id, server] : servers_) {
     if (server->entry.identity != identity || !server->link) continue;
-    send_release(*server, std::make_shared<CallRecord>(record), from_peer);
+    send_release(*server, std::make_shared<CallRecord>(record));
     return true;
   }
   return false;
@@ -251,8 +246,7 @@
     if (server.entry.state != ServerEntry::State::kReady) {
       ports_.core_ended(each.call, each.attempt, outcome_only(Outcome::kNotSent));
     } else {
-      transmit(server, each.call, each.attempt, each.give_up_at - now, std::move(each.record),
-               each.from_peer);
+      transmit(server, each.call, each.attempt, each.give_up_at - now, std::move(each.record));
     }
   }
 }
@@ -262,9 +256,9 @@
   server.lingering.clear();
   std::vector<std::pair<CallId, std::uint32_t>> cut;
   for (const auto& [hop, each] : std::exchange(server.pending, {})) {
-    owe(server, each.record, each.from_peer);  // it may stand there all the same: its answer may be lost
+    owe(server, each.record);  // it may stand there all the same: its answer may be lost
     if (each.given_up) continue;
-    server.legs.erase(each.session);
+    server.legs.erase(each.record->session_id);
     cut.emplace_back(each.call, each.attempt);
   }
   // Sessions outlive connections (RFC 6733 section 8): those that stand wait for it to come back, a while.
@@ -298,7 +292,7 @@
   std::vector<Leg> cut;
   for (const auto& [session, leg] : std::exchange(server.legs, {})) {
     cut.push_back(leg);
-    owe(server, leg.record, leg.from_peer);  // the process may be alive, and hold its lines
+    owe(server, leg.record);  // the process may be alive, and hold its lines
   }
   std::sort(cut.begin(), cut.end(), [](const Leg& a, const Leg& b) { return a.call < b.call; });
   for (const Leg& leg : cut) ports_.core_ended(leg.call, leg.attempt, outcome_only(Outcome::kReset));
@@ -314,7 +308,7 @@
 
 void CoreSide::on_answer(Server& server, const diameter::MessageView& view) {
   const auto found = server.pending.find(view.header.hop_by_hop);
-  if (found == server.pending.end() || found->second.session != session_of(view)) {
+  if (found == server.pending.end() || found->second.record->session_id != session_of(view)) {
     counts_.unexpected += 1;
     return;
   }
@@ -328,13 +322,13 @@
     // It was released already; if the server counts it as standing all the same, it must be freed again.
     if (answer.stands) {
       counts_.late_stood += 1;
-      const auto leg = server.legs.find(pending.session);
-      if (leg == server.legs.end()) send_release(server, pending.record, pending.from_peer);
+      const auto leg = server.legs.find(pending.record->session_id);
+      if (leg == server.legs.end()) send_release(server, pending.record);
     }
     ports_.core_load(server.id, answer);
     return;
   }
-  const auto leg = server.legs.find(pending.session);
+  const auto leg = server.legs.find(pending.record->session_id);
   if (answer.stands) {
     if (leg != server.legs.end()) leg->second.stands = true;
     ports_.core_stood(pending.call, pending.attempt, answer);
--- a/src/edge/core_side.hpp
+++ b/src/edge/core_side.hpp
@@ -48,11 +48,10 @@
   // What the list says of a server. One that is ready is connected to at once.
   void update(ServerId server, const list::Entry& entry);
   Handover send_setup(CallId call, std::uint32_t attempt, ServerId server, double give_up_after_s,
-                      RecordPtr record, const std::string& from_peer);
-  void release(CallId call, std::uint32_t attempt, ServerId server, RecordPtr record,
-               const std::string& from_peer);
+                      RecordPtr record);
+  void release(CallId call, std::uint32_t attempt, ServerId server, RecordPtr record);
   // The end of a call that another proxy set up. False: no such server.
-  bool pass_termination(const std::string& server, const CallRecord& record, const std::string& from_peer);
+  bool pass_termination(const std::string& server, const CallRecord& record);
   // An accepted connection whose CER names one of the core servers; false: it names none.
   bool offer_connection(const std::shared_ptr<net::Stream>& stream, const diameter::MessageView& cer,
                         std::string_view rest);
@@ -78,17 +77,14 @@
     bool stands = false;
     std::uint32_t hop_by_hop = 0;  // of its set-up
     RecordPtr record;
-    std::string from_peer;
   };
   struct Pending {
-    std::string session;
     CallId call = 0;
     std::uint32_t attempt = 0;
     bool release = false;   // a CCR TERMINATION
     bool given_up = false;  // nobody waits for it any more
     double expires = 0;     // of those nobody waits for
     RecordPtr record;
-    std::string from_peer;
   };
   struct Queued {  // waits for the connection
     CallId call = 0;
@@ -96,11 +92,9 @@
     double give_up_at = 0;
     double until = 0;
     RecordPtr record;
-    std::string from_peer;
   };
   struct Owed {
     RecordPtr record;
-    std::string from_peer;
     double until = 0;
   };
   struct Server {
@@ -122,10 +116,9 @@
 
   Server* find(ServerId id);
   void make_link(Server& server);
-  void transmit(Server& server, CallId call, std::uint32_t attempt, double give_up_after_s, RecordPtr record,
-                const std::string& from_peer);
-  void send_release(Server& server, const RecordPtr& record, const std::string& from_peer);
-  void owe(Server& server, RecordPtr record, const std::string& from_peer);
+  void transmit(Server& server, CallId call, std::uint32_t attempt, double give_up_after_s, RecordPtr record);
+  void send_release(Server& server, const RecordPtr& record);
+  void owe(Server& server, RecordPtr record);
   void pay(Server& server, bool same_process);
   void give_up(Server& server, const Leg& leg);
   void linger(Server& server, std::uint32_t hop_by_hop);
--- a/src/edge/credit_control.cpp
+++ b/src/edge/credit_control.cpp
@@ -77,8 +77,9 @@
 }
 std::string session_of(const MessageView& message) { return text(message, avp::kSessionId); }
 
-CallRecord read_setup(const MessageView& request) {
+CallRecord read_setup(const MessageView& request, const std::string& from_peer) {
   CallRecord call;
+  call.from_peer = from_peer;
   call.header = request.header;
   call.end_to_end = request.header.end_to_end;
   call.session_id = text(request, avp::kSessionId);
@@ -100,8 +101,8 @@
   return call;
 }
 
-std::string write_setup(const CallRecord& call, const std::string& server, const std::string& from_peer,
-                        std::uint32_t hop_by_hop, bool repeated, double give_up_after_s) {
+std::string write_setup(const CallRecord& call, const std::string& server, std::uint32_t hop_by_hop,
+                        bool repeated, double give_up_after_s) {
   Header header = request_header(diameter::kCreditControl, hop_by_hop, call.end_to_end);
   if (repeated) header.flags |= diameter::kRetransmitted;
   Builder out(header);
@@ -111,15 +112,15 @@
   out.u32(avp::kMaximumWaitTime, milliseconds(give_up_after_s));
   if (call.lines != 1) out.u32(avp::kLinesRequired, call.lines);
   if (call.redial != 0) out.u32(avp::kRedialIndicator, call.redial);
-  out.raw(call.passed_on).text(avp::kRouteRecord, from_peer);
+  out.raw(call.passed_on).text(avp::kRouteRecord, call.from_peer);
   return out.finish();
 }
 
-std::string write_termination(const CallRecord& call, const std::string& server, const std::string& from_peer,
-                              std::uint32_t hop_by_hop, std::uint32_t end_to_end) {
+std::string write_termination(const CallRecord& call, const std::string& server, std::uint32_t hop_by_hop,
+                              std::uint32_t end_to_end) {
   Builder out(request_header(diameter::kCreditControl, hop_by_hop, end_to_end));
   write_common(out, call, server, diameter::kTermination, call.request_number + 1);
-  out.text(avp::kRouteRecord, from_peer);
+  out.text(avp::kRouteRecord, call.from_peer);
   return out.finish();
 }
 
--- a/src/edge/credit_control.hpp
+++ b/src/edge/credit_control.hpp
@@ -19,6 +19,7 @@
 
 // What a set-up says, whichever front it came through.
 struct CallRecord {
+  std::string from_peer;  // whom it came from, for Route-Record (RFC 6733 6.1.9)
   std::string session_id;
   std::string origin_host;
   std::string origin_realm;
@@ -37,19 +38,19 @@
   std::string passed_on;    // encoded AVPs that go to the core server as they came
 };
 
-// Reads a CCR that passed the dictionary's check.
-CallRecord read_setup(const diameter::MessageView& request);
+// Reads a CCR that passed the dictionary's check, and came from that peer.
+CallRecord read_setup(const diameter::MessageView& request, const std::string& from_peer = "");
 
 std::uint32_t request_type(const diameter::MessageView& message);  // CC-Request-Type; 0: none
 std::string session_of(const diameter::MessageView& message);      // Session-Id; empty: none
 
-// A set-up toward a core server. `from_peer`: whom it came from, for Route-Record (RFC 6733 6.1.9).
-std::string write_setup(const CallRecord& call, const std::string& server, const std::string& from_peer,
-                        std::uint32_t hop_by_hop, bool repeated, double give_up_after_s);
+// A set-up toward a core server.
+std::string write_setup(const CallRecord& call, const std::string& server, std::uint32_t hop_by_hop,
+                        bool repeated, double give_up_after_s);
 
 // The end of a call, or of an attempt, toward a core server: CCR TERMINATION.
-std::string write_termination(const CallRecord& call, const std::string& server, const std::string& from_peer,
-                              std::uint32_t hop_by_hop, std::uint32_t end_to_end);
+std::string write_termination(const CallRecord& call, const std::string& server, std::uint32_t hop_by_hop,
+                              std::uint32_t end_to_end);
 
 // The answer to a set-up. `origin`: the core server where the call stands, else this node.
 struct SetupAnswer {
--- a/src/edge/diameter_front.cpp
+++ b/src/edge/diameter_front.cpp
@@ -192,7 +192,7 @@
 void DiameterFront::on_message(Caller& caller, const MessageView& view, bool reopening) {
   if (!view.header.request()) return;  // ASA: the call is over already
   if (view.header.command != diameter::kCreditControl) {
-    reply(caller.host, error_answer(local_, view, diameter::kCommandUnsupported, {}, "not from callers"));
+    caller.link->send(error_answer(local_, view, diameter::kCommandUnsupported, {}, "not from callers"));
     return;
   }
   switch (request_type(view)) {
@@ -201,14 +201,14 @@
     case diameter::kTermination:
       return on_end(caller, view);
     default:
-      reply(caller.host, error_answer(local_, view, diameter::kInvalidAvpValue,
-                                      view.find(diameter::avp::kCcRequestType.code)->whole,
-                                      "calls are set up (1) or ended (3)"));
+      caller.link->send(error_answer(local_, view, diameter::kInvalidAvpValue,
+                                     view.find(diameter::avp::kCcRequestType.code)->whole,
+                                     "calls are set up (1) or ended (3)"));
   }
 }
 
 void DiameterFront::on_setup(Caller& caller, const MessageView& view, bool reopening) {
-  auto record = std::make_shared<CallRecord>(read_setup(view));
+  auto record = std::make_shared<CallRecord>(read_setup(view, caller.host));
   const auto* known = duplicates_.seen(record->origin_host, record->end_to_end, loop_.now());
   if (known != nullptr) {
     counts_.duplicates += 1;
@@ -216,7 +216,7 @@
     if (!known->answer.empty()) {
       std::string again = known->answer;
       for (int i = 0; i < 4; ++i) again[12 + i] = static_cast<char>(view.header.hop_by_hop >> (24 - 8 * i));
-      reply(caller.host, std::move(again));
+      caller.link->send(std::move(again));
     } else if (const auto at = sessions_.find(record->session_id); at != sessions_.end()) {
       auto moved = std::make_shared<CallRecord>(*open_.at(at->second).record);
       moved->header.hop_by_hop = view.header.hop_by_hop;
@@ -225,20 +225,20 @@
     return;
   }
   if (reopening) {  // RFC 3539: what comes before three watchdog answers counts for nothing; told, not sat on
-    reply(caller.host, error_answer(local_, view, diameter::kTooBusy, {}, "reopening"));
+    caller.link->send(error_answer(local_, view, diameter::kTooBusy, {}, "reopening"));
     return;
   }
   if (sessions_.count(record->session_id) != 0) {
-    reply(caller.host,
-          error_answer(local_, view, diameter::kUnableToComply, {}, "this session is a call already"));
+    caller.link->send(
+        error_answer(local_, view, diameter::kUnableToComply, {}, "this session is a call already"));
     return;
   }
   // Entered before the offer: the answer may come at once.
   const CallId id = board_.next_call();
-  open_[id] = {record, caller.host, false, false};
+  open_[id] = {record, &caller, false, false};
   sessions_[record->session_id] = id;
   caller.calls.insert(id);
-  board_.offer(*this, id, record, caller.host);
+  board_.offer(*this, id, record);
 }
 
 void DiameterFront::on_end(Caller& caller, const MessageView& view) {
@@ -257,26 +257,21 @@
       answer.text = "ended by the caller before it stood";
       std::string bytes = write_setup_answer(*open.record, answer);
       duplicates_.answered(open.record->origin_host, open.record->end_to_end, bytes);
-      reply(open.host, std::move(bytes));
+      open.caller->link->send(std::move(bytes));
     }
     board_.hang_up(id);
-    reply(caller.host, write_success(view, local_));
+    caller.link->send(write_success(view, local_));
     return;
   }
   // Set up through another proxy, or through this one before it restarted: the caller says where it stands.
-  const CallRecord record = read_setup(view);
-  if (!record.destination_host.empty() && board_.pass_termination(record, caller.host)) {
-    reply(caller.host, write_success(view, local_));
+  const CallRecord record = read_setup(view, caller.host);
+  if (!record.destination_host.empty() && board_.pass_termination(record)) {
+    caller.link->send(write_success(view, local_));
   } else {
-    reply(caller.host, error_answer(local_, view, diameter::kUnknownSessionId, {}, "no such call"));
+    caller.link->send(error_answer(local_, view, diameter::kUnknownSessionId, {}, "no such call"));
   }
 }
 
-void DiameterFront::reply(const std::string& host, std::string bytes) {
-  const auto found = callers_.find(host);
-  if (found != callers_.end()) found->second->link->send(std::move(bytes));
-}
-
 // ---- What became of a call ----
 
 void DiameterFront::answer(CallId id, const Verdict& verdict) {
@@ -306,26 +301,25 @@
   }
   std::string bytes = write_setup_answer(*open.record, answer);
   duplicates_.answered(open.record->origin_host, open.record->end_to_end, bytes);
-  reply(open.host, std::move(bytes));
+  open.caller->link->send(std::move(bytes));
 }
 
 void DiameterFront::cut(CallId id) {
   const auto found = open_.find(id);
   if (found == open_.end()) return;
-  const auto at = callers_.find(found->second.host);
-  if (at == callers_.end() || !at->second->link->peer().open()) return;
+  PeerLink& link = *found->second.caller->link;
+  if (!link.peer().open()) return;
   counts_.aborted += 1;
-  diameter::Peer& peer = at->second->link->peer();
+  diameter::Peer& peer = link.peer();
   const std::uint32_t hop = peer.next_hop_by_hop();
-  at->second->link->send(write_abort(*found->second.record, local_, hop, peer.next_end_to_end()));
+  link.send(write_abort(*found->second.record, local_, hop, peer.next_end_to_end()));
 }
 
 void DiameterFront::forget(CallId id) {
   const auto found = open_.find(id);
   if (found == open_.end()) return;
   sessions_.erase(found->second.record->session_id);
-  const auto at = callers_.find(found->second.host);
-  if (at != callers_.end()) at->second->calls.erase(id);
+  found->second.caller->calls.erase(id);
   open_.erase(found);
 }
 
--- a/src/edge/diameter_front.hpp
+++ b/src/edge/diameter_front.hpp
@@ -61,7 +61,7 @@
   };
   struct Open {
     RecordPtr record;
-    std::string host;
+    Caller* caller = nullptr;  // lives as long as it has calls
     bool answered = false;
     bool stands = false;
   };
@@ -83,7 +83,6 @@
   void on_end(Caller& caller, const diameter::MessageView& view);
   void on_down(Caller& caller, const std::string& why);
   void end_calls(Caller& caller, bool only_unanswered);
-  void reply(const std::string& host, std::string bytes);
   void sweep();
 
   net::Loop& loop_;
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -156,7 +156,7 @@
 
 // ---- Fronts ----
 
-void Edge::offer(Front& front, CallId id, RecordPtr record, const std::string& from_peer) {
+void Edge::offer(Front& front, CallId id, RecordPtr record) {
   Offer offer;
   const auto service = record->service_identifier.value_or(0);
   const auto known = config_.class_of_service.find(service);
@@ -169,7 +169,7 @@
     offer.first_choice = entry->node;
   offer.redialled = record->redial == 1;
   offer.was_cut = record->redial == 2;
-  calls_[id] = {&front, std::move(record), from_peer};
+  calls_[id] = {&front, std::move(record)};
   desk_.offer(id, offer, loop_.now());
   watch_desk();
 }
@@ -180,8 +180,8 @@
   return known;
 }
 
-bool Edge::pass_termination(const CallRecord& record, const std::string& from_peer) {
-  return core_.pass_termination(record.destination_host, record, from_peer);
+bool Edge::pass_termination(const CallRecord& record) {
+  return core_.pass_termination(record.destination_host, record);
 }
 
 const std::string& Edge::identity_of(ServerId server) {
@@ -217,14 +217,12 @@
 Handover Edge::send_setup(CallId call, std::uint32_t attempt, ServerId server, double give_up_after_s) {
   const auto found = calls_.find(call);
   if (found == calls_.end()) return Handover::kNotSent;
-  return core_.send_setup(call, attempt, server, give_up_after_s, found->second.record,
-                          found->second.from_peer);
+  return core_.send_setup(call, attempt, server, give_up_after_s, found->second.record);
 }
 
 void Edge::release(CallId call, std::uint32_t attempt, ServerId server) {
   const auto found = calls_.find(call);
-  if (found != calls_.end())
-    core_.release(call, attempt, server, found->second.record, found->second.from_peer);
+  if (found != calls_.end()) core_.release(call, attempt, server, found->second.record);
 }
 
 void Edge::subscribe() { list_->open(); }
--- a/src/edge/edge.hpp
+++ b/src/edge/edge.hpp
@@ -43,7 +43,6 @@
   struct CallEntry {
     Front* front = nullptr;
     RecordPtr record;
-    std::string from_peer;
   };
 
   // DeskPorts
@@ -62,9 +61,9 @@
   void core_event(const std::string& server, const char* event, const std::string& detail) override;
   // Switchboard
   CallId next_call() override { return desk_.next_call(); }
-  void offer(Front& front, CallId call, RecordPtr record, const std::string& from_peer) override;
+  void offer(Front& front, CallId call, RecordPtr record) override;
   bool hang_up(CallId call) override;
-  bool pass_termination(const CallRecord& record, const std::string& from_peer) override;
+  bool pass_termination(const CallRecord& record) override;
   const std::string& identity_of(ServerId server) override;
 
   void on_list(const list::SseEvent& event);
--- a/src/edge/front.hpp
+++ b/src/edge/front.hpp
@@ -17,12 +17,12 @@
   virtual ~Switchboard() = default;
   virtual CallId next_call() = 0;
   // Takes a call over and offers it to the desk; the front's `answer` comes once, maybe before this returns.
-  // `from_peer` stands in Route-Record.
-  virtual void offer(class Front& front, CallId call, RecordPtr record, const std::string& from_peer) = 0;
+  //
+  virtual void offer(class Front& front, CallId call, RecordPtr record) = 0;
   // The caller ends the call, or waits no more. False: not known.
   virtual bool hang_up(CallId call) = 0;
   // A call that this proxy doesn't know ends at the core server that it names.
-  virtual bool pass_termination(const CallRecord& record, const std::string& from_peer) = 0;
+  virtual bool pass_termination(const CallRecord& record) = 0;
   virtual const std::string& identity_of(ServerId server) = 0;
 };
 
--- a/src/net/timers.hpp
+++ b/src/net/timers.hpp
@@ -8,58 +8,58 @@
 #include <functional>
 #include <limits>
 #include <map>
-#include <unordered_map>
 #include <utility>
 
 namespace mintrock::net {
 
-using TimerId = std::uint64_t;  // 0: none
+// Names one timer; the default, or 0, is none.
+struct TimerId {
+  TimerId() = default;
+  TimerId(int) {}  // NOLINT: 0 is how none is written
+  TimerId(double at, std::uint64_t number) : when(at), sequence(number) {}
+  bool operator==(const TimerId& other) const { return sequence == other.sequence; }
+  bool operator!=(const TimerId& other) const { return sequence != other.sequence; }
+  bool operator<(const TimerId& other) const {
+    return when != other.when ? when < other.when : sequence < other.sequence;
+  }
+  double when = 0;
+  std::uint64_t sequence = 0;
+};
 
 class Timers {
  public:
   // Calls `fn` once, at the first `run` at or after `when` (seconds, monotonic).
   TimerId at(double when, std::function<void()> fn) {
-    const TimerId id = ++last_;
-    const auto place = queue_.emplace(Key{when, id}, std::move(fn)).first;
-    index_.emplace(id, place);
+    const TimerId id(when, ++last_);
+    queue_.emplace(id, std::move(fn));
     return id;
   }
 
   // True if it was still to come. 0 and ids that have fired are ignored.
-  bool cancel(TimerId id) {
-    const auto found = index_.find(id);
-    if (found == index_.end()) return false;
-    queue_.erase(found->second);
-    index_.erase(found);
-    return true;
-  }
+  bool cancel(TimerId id) { return queue_.erase(id) != 0; }
 
   // Runs those due, earliest first. Those added meanwhile wait for the next run, even if due already: a timer
   // that sets itself anew can't hold the loop.
   void run(double now) {
-    const TimerId newest = last_;
-    while (!queue_.empty() && queue_.begin()->first.first <= now) {
+    const std::uint64_t newest = last_;
+    while (!queue_.empty() && queue_.begin()->first.when <= now) {
       auto first = queue_.begin();
-      while (first != queue_.end() && first->first.second > newest) ++first;
-      if (first == queue_.end() || first->first.first > now) return;
+      while (first != queue_.end() && first->first.sequence > newest) ++first;
+      if (first == queue_.end() || first->first.when > now) return;
       const std::function<void()> fn = std::move(first->second);
-      index_.erase(first->first.second);
       queue_.erase(first);
       fn();
     }
   }
 
   double next() const {
-    return queue_.empty() ? std::numeric_limits<double>::infinity() : queue_.begin()->first.first;
+    return queue_.empty() ? std::numeric_limits<double>::infinity() : queue_.begin()->first.when;
   }
   std::size_t size() const { return queue_.size(); }
 
  private:
-  using Key = std::pair<double, TimerId>;
-  using Queue = std::map<Key, std::function<void()>>;
-  Queue queue_;
-  std::unordered_map<TimerId, Queue::iterator> index_;
-  TimerId last_ = 0;
+  std::map<TimerId, std::function<void()>> queue_;
+  std::uint64_t last_ = 0;
 };
 
 }  // namespace mintrock::net
