--- a/src/diameter/duplicates.hpp
+++ b/src/diameter/duplicates.hpp
@@ -5,13 +5,13 @@
 #ifndef MINTROCK_SRC_DIAMETER_DUPLICATES_HPP_
 #define MINTROCK_SRC_DIAMETER_DUPLICATES_HPP_
 
+#include <absl/container/flat_hash_map.h>
+#include <absl/hash/hash.h>
+
 #include <cstdint>
-#include <deque>
-#include <functional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
-#include <utility>
+#include <vector>
 
 namespace mintrock::diameter {
 
@@ -23,46 +23,59 @@
   struct Entry {
     std::string answer;  // empty: not answered yet
     double until = 0;
+    std::string host;
+    std::uint32_t end_to_end = 0;
   };
 
   // The entry if this request was seen before and is still kept, else null; then it is noted.
   const Entry* seen(std::string_view host, std::uint32_t end_to_end, double now) {
-    expire(now);
-    Key key{std::string(host), end_to_end};
-    const auto [at, fresh] = entries_.emplace(key, Entry{{}, now + keep_s_});
-    if (!fresh) return &at->second;
-    order_.emplace_back(now + keep_s_, std::move(key));
-    while (entries_.size() > most_) drop_oldest();
+    const std::uint64_t key = key_of(host, end_to_end);
+    if (Entry* known = find(key, host, end_to_end); known != nullptr && known->until > now) return known;
+    // Places are used in turn, so the one that is taken over is the oldest. Its strings' memory is used
+    // again.
+    if (places_.size() < most_) {
+      next_ = places_.size();
+      places_.emplace_back();
+    } else {
+      next_ = (next_ + 1) % places_.size();
+      const Entry& old = places_[next_];
+      const auto at = index_.find(key_of(old.host, old.end_to_end));
+      if (at != index_.end() && at->second == next_) index_.erase(at);
+    }
+    Entry& fresh = places_[next_];
+    fresh.answer.clear();
+    fresh.until = now + keep_s_;
+    fresh.host.assign(host);
+    fresh.end_to_end = end_to_end;
+    index_[key] = next_;
     return nullptr;
   }
 
   // Notes the answer that was given; nothing if the request is no longer kept.
-  void answered(std::string_view host, std::uint32_t end_to_end, std::string answer) {
-    const auto found = entries_.find({std::string(host), end_to_end});
-    if (found != entries_.end()) found->second.answer = std::move(answer);
+  void answered(std::string_view host, std::uint32_t end_to_end, std::string_view answer) {
+    Entry* known = find(key_of(host, end_to_end), host, end_to_end);
+    if (known != nullptr) known->answer.assign(answer);
   }
 
-  std::size_t size() const { return entries_.size(); }
+  std::size_t size() const { return places_.size(); }
 
  private:
-  using Key = std::pair<std::string, std::uint32_t>;
-  struct KeyHash {
-    std::size_t operator()(const Key& key) const {
-      return std::hash<std::string>()(key.first) ^ key.second * std::size_t{0x9E3779B97F4A7C15u};
-    }
-  };
-  void expire(double now) {
-    while (!order_.empty() && order_.front().first <= now) drop_oldest();
+  static std::uint64_t key_of(std::string_view host, std::uint32_t end_to_end) {
+    return absl::HashOf(host, end_to_end);
   }
-  void drop_oldest() {
-    entries_.erase(order_.front().second);
-    order_.pop_front();
+  // Two requests of one key are told apart by what stands in the place: the later one is then kept alone.
+  Entry* find(std::uint64_t key, std::string_view host, std::uint32_t end_to_end) {
+    const auto at = index_.find(key);
+    if (at == index_.end()) return nullptr;
+    Entry& entry = places_[at->second];
+    return entry.end_to_end == end_to_end && entry.host == host ? &entry : nullptr;
   }
 
   std::size_t most_;
   double keep_s_;
-  std::unordered_map<Key, Entry, KeyHash> entries_;
-  std::deque<std::pair<double, Key>> order_;
+  std::vector<Entry> places_;
+  std::size_t next_ = 0;
+  absl::flat_hash_map<std::uint64_t, std::size_t> index_;
 };
 
 }  // namespace mintrock::diameter
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -4,8 +4,11 @@
 #include "edge/edge.hpp"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
+#include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -208,7 +211,7 @@
     config.settings.asks_for_list = true;
     config.seed = 1;
     if (change) change(config);
-    edge = std::make_unique<Edge>(loop, config, "");
+    edge = std::make_unique<Edge>(loop, config, config_file);
     edge->start();
     wait([&] { return !core.lines.empty(); }, "the proxy connects to the core server");
   }
@@ -233,6 +236,7 @@
   std::unique_ptr<net::Listener> list;
   std::vector<std::shared_ptr<net::Stream>> watchers;
   ServerEntry::State state = ServerEntry::State::kReady;
+  std::string config_file;
   std::unique_ptr<Edge> edge;
 };
 
@@ -412,12 +416,14 @@
 // A drain told while a set-up waits for its connection: it must not go out once the connection stands.
 TEST_F(Rig, ASetupThatWaitsForItsConnectionDoesNotOutliveADrain) {
   core.answer_cer = false;
-  start([](Config& config) { config.core.connect_s = 5; });
+  start([](Config& config) { config.core.connect_s = 60; });
   connect();
-  caller.ccr("waits", 1, 1);
+  const double begun = loop.now();
+  caller.ccr("waits", 1, 1, "", 9000);
   wait([&] { return edge->desk_counts().attempts == 1; }, "it was handed over");
   publish(2, ServerEntry::State::kDraining);
   wait([&] { return caller.results["waits"].size() == 1; }, "refused, not sent");
+  EXPECT_LT(loop.now() - begun, 5) << "told by the drain, not by the end of its time";
   EXPECT_EQ(core.setups, 0);
 }
 
@@ -443,6 +449,35 @@
   EXPECT_EQ(core.dprs, 1);
 }
 
+// A reload takes what can change safely; a file with a fault changes nothing.
+TEST_F(Rig, AReloadTakesLimitsAndAFaultyFileChangesNothing) {
+  const std::string file = ::testing::TempDir() + "reload-" + std::to_string(getpid()) + ".yaml";
+  const auto write = [&](const std::string& limits) {
+    std::ofstream(file)
+        << "node: {identity: edge.test, realm: test, listen: \"127.0.0.1:0\", admin: \"127.0.0.1:0\"}\n"
+        << "list: {server: \"" << list->local().str() << "\"}\n"
+        << "classes: [{name: a, service_identifier: 1, aim: 2s, deadline: 9s}]\n"
+        << "log: {level: error}\n"
+        << limits;
+  };
+  config_file = file;
+  start();
+  connect();
+  caller.ccr("first", 1, 1);
+  wait([&] { return caller.results["first"].size() == 1; }, "it stands");
+  write("limits: {calls: oops}\n");
+  edge->reload();
+  caller.ccr("second", 1, 2);
+  wait([&] { return caller.results["second"].size() == 1; }, "as before");
+  EXPECT_EQ(caller.results["second"][0], diameter::kSuccess);
+  write("limits: {calls: 2}\n");
+  edge->reload();
+  caller.ccr("third", 1, 3);
+  wait([&] { return caller.results["third"].size() == 1; }, "refused");
+  EXPECT_EQ(caller.results["third"][0], diameter::kTooBusy);
+  std::remove(file.c_str());
+}
+
 TEST_F(Rig, OperatorsPagesAnswer) {
   start();
   connect();
