--- a/src/edge/config.cpp
+++ b/src/edge/config.cpp
@@ -56,6 +56,19 @@
 
 }  // namespace
 
+void read_rules(config::Section& from, Settings& out) {
+  from.read_time("release_wait", out.release_wait_s, 0, kDay);
+  from.read_time("repeat_after", out.repeat_after_s, 0, kDay);
+  from.read("start_capacity", out.start_capacity, 0.001, 1);
+  from.read_time("warm_up", out.warm_up_s, 0, kDay);
+  from.read("overload_factor", out.overload_factor, 0.001, 1000);
+  from.read_time("fall_time", out.fall_s, 0.001, kDay);
+  from.read("attempt_limit", out.attempt_limit, 1, 100);
+  from.read_time("max_retry_after", out.max_retry_after_s, 0, kDay);
+  from.read("cancel", out.can_cancel);
+  from.read("callers_mark_redials", out.marks_redials);
+}
+
 Config load_config(const std::string& file) {
   config::Section top = config::load(file);
   Config out;
@@ -114,18 +127,7 @@
   top.require("classes");
   top.sections("classes", [&](config::Section& from) { read_class(from, out); });
   if (s.classes.empty()) top.fail("classes", "is empty");
-  top.section("rules", [&](config::Section& from) {
-    from.read_time("release_wait", s.release_wait_s, 0, kDay);
-    from.read_time("repeat_after", s.repeat_after_s, 0, kDay);
-    from.read("start_capacity", s.start_capacity, 0.001, 1);
-    from.read_time("warm_up", s.warm_up_s, 0, kDay);
-    from.read("overload_factor", s.overload_factor, 0.001, 1000);
-    from.read_time("fall_time", s.fall_s, 0.001, kDay);
-    from.read("attempt_limit", s.attempt_limit, 1, 100);
-    from.read_time("max_retry_after", s.max_retry_after_s, 0, kDay);
-    from.read("cancel", s.can_cancel);
-    from.read("callers_mark_redials", s.marks_redials);
-  });
+  top.section("rules", [&](config::Section& from) { read_rules(from, s); });
   s.gives_retry_after = s.max_retry_after_s > 0;
   s.asks_for_list = true;
   top.section("limits", [&](config::Section& from) {
--- a/src/edge/config.hpp
+++ b/src/edge/config.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "config/yaml.hpp"
 #include "diameter/peer.hpp"
 #include "mintrock/controller.hpp"
 #include "net/loop.hpp"
@@ -68,6 +69,9 @@
   Settings settings;  // what the Controller is told
 };
 
+// The `rules` of a configuration, or of a scenario of the lab.
+void read_rules(config::Section& from, Settings& out);
+
 // Reads and checks a file; throws config::Error with one line.
 Config load_config(const std::string& file);
 
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "config/yaml.hpp"
+#include "edge/config.hpp"
 
 namespace mintrock::lab {
 namespace {
@@ -117,16 +118,7 @@
     from.read_time("reports_every", out.reports_every_s, 0, kDay);
   });
   top.section("rules", [&](config::Section& from) {
-    Settings& s = out.rules;
-    from.read_time("release_wait", s.release_wait_s, 0, kDay);
-    from.read("start_capacity", s.start_capacity, 0.001, 1);
-    from.read_time("warm_up", s.warm_up_s, 0, kDay);
-    from.read("overload_factor", s.overload_factor, 0.001, 1000);
-    from.read_time("fall_time", s.fall_s, 0.001, kDay);
-    from.read("attempt_limit", s.attempt_limit, 1, 100);
-    from.read_time("max_retry_after", s.max_retry_after_s, 0, kDay);
-    from.read("cancel", s.can_cancel);
-    from.read("callers_mark_redials", s.marks_redials);
+    edge::read_rules(from, out.rules);
     from.read_time("drain_grace", out.drain_grace_s, 0, kDay);
   });
   top.read_time("list_delay", out.list_delay_s, 0, kDay);
