Set-up delay is measured; callers that went make room for others

Found on reading the change once more: the delay histogram was never fed, and hosts rejected at their CER, or gone, filled the table of callers until none was let in (max_connections, or 1,000 gone ones). Change: the delay is observed where the answer says that the call stands; a caller counts as gone until its capabilities are accepted, and gone ones are swept when there is no room.

--- a/src/edge/config.cpp
+++ b/src/edge/config.cpp
@@ -50,7 +50,6 @@
   if (!out.class_of_service.emplace(service, place).second) {
     from.fail("service_identifier", std::to_string(service) + " names another class already");
   }
-  out.class_names.push_back(name);
   out.settings.classes.push_back(each);
 }
 
--- a/src/edge/config.hpp
+++ b/src/edge/config.hpp
@@ -65,8 +65,7 @@
   std::uint32_t max_message = 65536;
   std::uint64_t seed = 0;                                   // 0: drawn at start
   std::map<std::uint32_t, std::uint32_t> class_of_service;  // Service-Identifier -> place in classes
-  std::vector<std::string> class_names;
-  Settings settings;  // what the Controller is told
+  Settings settings;                                        // what the Controller is told
 };
 
 // The `rules` of a configuration, or of a scenario of the lab.
--- a/src/edge/diameter_front.cpp
+++ b/src/edge/diameter_front.cpp
@@ -44,6 +44,8 @@
 // ---- Connections ----
 
 void DiameterFront::accepted(int fd, net::Address from) {
+  // Callers that came and went must not lock others out.
+  if (gates_.size() + callers_.size() >= config_.callers.max_connections) sweep();
   if (stopping_ || gates_.size() + callers_.size() >= config_.callers.max_connections) {
     counts_.rejected += 1;
     ::close(fd);
@@ -161,7 +163,6 @@
   caller.hold = loop_.after(config_.callers.session_hold_s, [this, &caller] {
     caller.hold = 0;
     if (caller.gone) end_calls(caller, false);
-    sweep();
   });
 }
 
@@ -173,18 +174,15 @@
   for (const CallId id : over) board_.hang_up(id);
 }
 
-// Callers that are gone, hold no calls and are not listed leave nothing behind once they are many.
+// Callers that are gone and hold no calls leave nothing behind once there is no room for others. Not from
+// within one of their own callbacks.
 void DiameterFront::sweep() {
-  constexpr std::size_t kMostGone = 1000;
-  if (callers_.size() < kMostGone) return;
-  loop_.defer([this] {
-    for (auto at = callers_.begin(); at != callers_.end();) {
-      const Caller& each = *at->second;
-      const bool idle = each.gone && each.hold == 0 && each.calls.empty() &&
-                        each.link->peer().state() == diameter::Peer::State::kClosed;
-      at = idle ? callers_.erase(at) : std::next(at);
-    }
-  });
+  for (auto at = callers_.begin(); at != callers_.end();) {
+    const Caller& each = *at->second;
+    const bool idle = each.gone && each.hold == 0 && each.calls.empty() &&
+                      each.link->peer().state() == diameter::Peer::State::kClosed;
+    at = idle ? callers_.erase(at) : std::next(at);
+  }
 }
 
 // ---- Requests ----
--- a/src/edge/diameter_front.hpp
+++ b/src/edge/diameter_front.hpp
@@ -57,7 +57,7 @@
     std::unique_ptr<PeerLink> link;
     std::set<CallId> calls;
     net::TimerId hold = 0;
-    bool gone = false;
+    bool gone = true;  // not connected: from the start, until its capabilities are accepted
   };
   struct Open {
     RecordPtr record;
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -169,7 +169,7 @@
     offer.first_choice = entry->node;
   offer.redialled = record->redial == 1;
   offer.was_cut = record->redial == 2;
-  calls_[id] = {&front, std::move(record)};
+  calls_[id] = {&front, std::move(record), loop_.now()};
   desk_.offer(id, offer, loop_.now());
   watch_desk();
 }
@@ -199,6 +199,7 @@
     log_event(err, "overdue", {{"session", found->second.record->session_id}});
   }
   log_event(debug, "answered", {{"session", found->second.record->session_id}, {"detail", verdict.why}});
+  if (verdict.kind == Verdict::Kind::kStands) metrics_.setup_delay(loop_.now() - found->second.offered);
   found->second.front->answer(call, verdict);
 }
 
--- a/src/edge/edge.hpp
+++ b/src/edge/edge.hpp
@@ -43,6 +43,7 @@
   struct CallEntry {
     Front* front = nullptr;
     RecordPtr record;
+    double offered = 0;  // when
   };
 
   // DeskPorts
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -379,6 +379,23 @@
   EXPECT_EQ(caller.cea_results, std::vector<std::uint32_t>{diameter::kUnknownPeer});
 }
 
+// Hosts that came once, or were rejected, must not fill the table of callers for good.
+TEST_F(Rig, CallersThatWentMakeRoomForOthers) {
+  start([](Config& config) {
+    config.callers.max_connections = 3;
+    config.callers.session_hold_s = 0;
+  });
+  std::vector<std::unique_ptr<Node>> many;
+  for (int i = 0; i < 10; ++i) {
+    many.push_back(std::make_unique<Node>(loop, "host-" + std::to_string(i) + ".test"));
+    Node& node = *many.back();
+    node.call(edge->callers_address());
+    wait([&] { return node.ceas == 1; }, "let in, number " + std::to_string(i));
+    node.lines.back()->reset();
+    wait([&] { return edge->callers_connected() == 0; }, "gone");
+  }
+}
+
 TEST_F(Rig, StandingCallsOutliveALostConnectionToTheSameProcess) {
   start();
   connect();
@@ -496,6 +513,7 @@
   EXPECT_NE(page.find("\"server\": \"core-0.test\""), std::string::npos);
   EXPECT_NE(page.find("\"state\": \"ok\""), std::string::npos);
   EXPECT_NE(page.find("mintrock_calls_total{outcome=\"stood\"} 1"), std::string::npos);
+  EXPECT_NE(page.find("mintrock_setup_delay_seconds_count 1"), std::string::npos);
   EXPECT_NE(page.find("404 Not Found"), std::string::npos);
 }
 
