A reload names every key that it can't change; one maker of temporary folders

Found: changes of core.session_hold, linger, max_unsent, list.reconnect, idle, callers.duplicates, limits.message_bytes and seed were passed over in silence, against docs/configuration.md. The lab made its folders in two places.

--- a/src/edge/config.cpp
+++ b/src/edge/config.cpp
@@ -155,9 +155,16 @@
   fixed("node", a.node.identity == b.node.identity && a.node.realm == b.node.realm &&
                     a.node.listen == b.node.listen && a.node.admin == b.node.admin);
   fixed("core", a.core.watchdog == b.core.watchdog && a.core.watchdog_s == b.core.watchdog_s &&
-                    a.core.reconnect_s == b.core.reconnect_s && a.core.connect_s == b.core.connect_s);
+                    a.core.reconnect_s == b.core.reconnect_s && a.core.connect_s == b.core.connect_s &&
+                    a.core.session_hold_s == b.core.session_hold_s && a.core.linger_s == b.core.linger_s &&
+                    a.core.max_unsent == b.core.max_unsent);
+  fixed("callers", a.callers.duplicates_s == b.callers.duplicates_s &&
+                       a.callers.max_duplicates == b.callers.max_duplicates);
+  fixed("limits.message_bytes", a.max_message == b.max_message);
+  fixed("seed", a.seed == b.seed);
   fixed("list", a.list.server == b.list.server && a.list.path == b.list.path &&
-                    a.list.cache_file == b.list.cache_file);
+                    a.list.cache_file == b.list.cache_file && a.list.reconnect_s == b.list.reconnect_s &&
+                    a.list.idle_s == b.list.idle_s);
   fixed("fleet", a.settings.fleet_size == b.settings.fleet_size && a.fleet.peers == b.fleet.peers &&
                      a.settings.own_number == b.settings.own_number && a.fleet.listen == b.fleet.listen);
   fixed("log.file", a.log.file == b.log.file);
--- a/src/lab/bench.cpp
+++ b/src/lab/bench.cpp
@@ -299,9 +299,7 @@
 }
 
 int run_bench(const BenchOptions& options) {
-  std::string pattern = (std::filesystem::temp_directory_path() / "mintrock-bench-XXXXXX").string();
-  if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder can be made");
-  const std::string dir = pattern;
+  const std::string dir = make_temporary_folder("mintrock-bench");
   PortFinder ports;
   const std::uint16_t core = ports.next(), relay = ports.next(), edge = ports.next(), admin = ports.next(),
                       nobody = ports.next();
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -9,6 +9,8 @@
 
 #include <chrono>
 #include <cstdio>
+#include <cstdlib>
+#include <filesystem>
 #include <stdexcept>
 #include <thread>
 
@@ -56,6 +58,13 @@
   throw std::runtime_error("no free port");
 }
 
+std::string make_temporary_folder(const std::string& name) {
+  // mkdtemp asks for six of this letter at the end, and replaces them.
+  std::string path = (std::filesystem::temp_directory_path() / (name + "-")).string() + std::string(6, 'X');
+  if (mkdtemp(path.data()) == nullptr) throw std::runtime_error("no temporary folder can be made");
+  return path;
+}
+
 void wait_for_port(std::uint16_t port) {
   for (int i = 0; i < 1000; ++i) {
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
--- a/src/lab/process.hpp
+++ b/src/lab/process.hpp
@@ -26,6 +26,9 @@
   std::set<std::uint16_t> given_;
 };
 
+// A new folder of its own under the system's temporary one, its name beginning so.
+std::string make_temporary_folder(const std::string& name);
+
 // Returns once somebody listens there; throws std::runtime_error after 10 s.
 void wait_for_port(std::uint16_t port);
 
--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -240,9 +240,7 @@
   std::string dir = options.trace_dir;
   const bool own = dir.empty();
   if (own) {
-    std::string pattern = (fs::temp_directory_path() / "mintrock-lab-XXXXXX").string();
-    if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder can be made");
-    dir = pattern;
+    dir = make_temporary_folder("mintrock-lab");
   } else {
     fs::create_directories(dir);
   }
--- a/tests/edge/config_test.cpp
+++ b/tests/edge/config_test.cpp
@@ -95,6 +95,13 @@
   after.settings.release_wait_s = 7;
   after.node.listen.port = 1;
   EXPECT_EQ(needs_restart(before, after), (std::vector<std::string>{"node", "classes", "rules"}));
+  after = before;
+  after.core.linger_s = 1;
+  after.callers.max_duplicates = 1;
+  after.max_message = 2048;
+  after.list.idle_s = 1;
+  EXPECT_EQ(needs_restart(before, after),
+            (std::vector<std::string>{"core", "callers", "limits.message_bytes", "list"}));
 }
 
 }  // namespace
