Stand-ins write their requests and base answers in one place

Found by the list of duplicates: callers, core servers and bench each wrote CER, base answers and Credit-Control requests by themselves. Change: begin_call_request, make_cer and answer_base of lab/line serve all three.

--- a/src/lab/bench.cpp
+++ b/src/lab/bench.cpp
@@ -29,7 +29,6 @@
 
 namespace avp = diameter::avp;
 using diameter::Builder;
-using diameter::Header;
 using diameter::MessageView;
 
 constexpr const char* kCore = "core-0.lab.test";
@@ -41,23 +40,6 @@
     frame[at + static_cast<std::size_t>(i)] = static_cast<char>(value >> (24 - 8 * i));
 }
 
-std::string cea_for(const MessageView& cer, const std::string& host) {
-  Builder cea(diameter::answer_header(cer.header, false));
-  cea.u32(avp::kResultCode, diameter::kSuccess);
-  write_capabilities(cea, host, 1);
-  return cea.finish();
-}
-
-std::string cer_of(const std::string& host) {
-  Header header;
-  header.flags = diameter::kRequest;
-  header.command = diameter::kCapabilitiesExchange;
-  header.hop_by_hop = 1;
-  Builder cer(header);
-  write_capabilities(cer, host, 1);
-  return cer.finish();
-}
-
 // Sends calls over one connection: set up, and ended as soon as they stand.
 class Generator {
  public:
@@ -74,7 +56,7 @@
 
   Generator(std::uint16_t port, std::string name) : name_(std::move(name)) {
     Line::Handlers handlers;
-    handlers.on_open = [this] { line_->send(cer_of(name_)); };
+    handlers.on_open = [this] { line_->send(make_cer(name_, 1, 1)); };
     handlers.on_message = [this](const MessageView& view) { message(view); };
     handlers.on_closed = [this](const std::string& why) {
       std::fprintf(stderr, "mintrock-lab: connection of the measurement closed: %s\n", why.c_str());
@@ -128,17 +110,9 @@
   }
 
   std::string request(const std::string& session, std::uint32_t type) {
-    Header header;
-    header.flags = diameter::kRequest | diameter::kProxiable;
-    header.command = diameter::kCreditControl;
-    header.application = diameter::kApplicationCreditControl;
-    header.hop_by_hop = ++hop_;
-    header.end_to_end = hop_;
-    Builder out(header);
-    out.text(avp::kSessionId, session).text(avp::kOriginHost, name_).text(avp::kOriginRealm, kRealm);
-    out.text(avp::kDestinationRealm, kRealm).u32(avp::kAuthApplicationId, 4);
-    out.text(avp::kServiceContextId, "calls@lab.test").u32(avp::kCcRequestType, type);
-    out.u32(avp::kCcRequestNumber, type == diameter::kInitial ? 0 : 1).text(avp::kDestinationHost, kCore);
+    hop_ += 1;
+    Builder out = begin_call_request(name_, session, type, hop_, hop_);
+    out.text(avp::kDestinationHost, kCore);
     if (type == diameter::kInitial) {
       out.text(avp::kCalledStationId, std::to_string(hop_)).u32(avp::kServiceIdentifier, 1);
       out.u32(avp::kMaximumWaitTime, 5000);
@@ -160,11 +134,7 @@
     }
     if (view.header.request()) {
       if (view.header.command == diameter::kDeviceWatchdog) {
-        Builder dwa(diameter::answer_header(view.header, false));
-        dwa.u32(avp::kResultCode, diameter::kSuccess)
-            .text(avp::kOriginHost, name_)
-            .text(avp::kOriginRealm, kRealm);
-        line_->send(dwa.finish());
+        line_->send(answer_base(view, name_, 1));
       }
       return;
     }
@@ -231,7 +201,7 @@
     handlers.on_message = [&, id](const MessageView& view) {
       if (!view.header.request()) return;
       const bool cer = view.header.command == diameter::kCapabilitiesExchange;
-      lines.at(id)->send(cer ? cea_for(view, kCore) : edge::write_success(view, local));
+      lines.at(id)->send(cer ? answer_base(view, kCore, 1) : edge::write_success(view, local));
     };
     handlers.on_closed = [&, id](const std::string&) { loop.defer([&, id] { lines.erase(id); }); };
     lines[id] = std::make_unique<Line>(loop, net::Stream::adopt(loop, fd, from, 64 << 20), trace, kCore, id,
@@ -261,7 +231,7 @@
   };
   std::unique_ptr<Line> core;
   Line::Handlers from_core;
-  from_core.on_open = [&] { core->send(cer_of("relay.lab.test")); };
+  from_core.on_open = [&] { core->send(make_cer("relay.lab.test", 1, 1)); };
   from_core.on_message = [&](const MessageView& view) {
     const auto way = ways.find(view.header.hop_by_hop);
     if (view.header.request() || way == ways.end()) return;
@@ -282,7 +252,7 @@
     handlers.on_message = [&, id](const MessageView& view) {
       if (!view.header.request()) return;
       if (view.header.command == diameter::kCapabilitiesExchange) {
-        return callers.at(id)->send(cea_for(view, "relay.lab.test"));
+        return callers.at(id)->send(answer_base(view, "relay.lab.test", 1));
       }
       std::string frame = frame_of(view);
       put_u32(frame, 12, ++hop);
--- a/src/lab/call.cpp
+++ b/src/lab/call.cpp
@@ -18,7 +18,6 @@
 
 namespace avp = diameter::avp;
 using diameter::Builder;
-using diameter::Header;
 using diameter::MessageView;
 using nlohmann::json;
 
@@ -33,7 +32,6 @@
   std::size_t call_class = 0;
   std::string called;
   std::uint32_t first_choice = 0;
-  double first = 0;
   bool cut = false;
 };
 
@@ -63,23 +61,10 @@
   void dial(Wish wish) {
     const std::string session =
         name_ + ";" + std::to_string(wish.number) + ";" + std::to_string(++wish.tries);
-    Header header;
-    header.flags = diameter::kRequest | diameter::kProxiable;
-    header.command = diameter::kCreditControl;
-    header.application = diameter::kApplicationCreditControl;
-    header.hop_by_hop = ++hop_;
-    header.end_to_end = ++end_to_end_;
+    const std::uint32_t hop = ++hop_;
     const Scenario::Class& c = crowd_.scenario.classes[wish.call_class];
-    Builder out(header);
-    out.text(avp::kSessionId, session)
-        .text(avp::kOriginHost, name_)
-        .text(avp::kOriginRealm, kRealm)
-        .text(avp::kDestinationRealm, kRealm)
-        .u32(avp::kAuthApplicationId, diameter::kApplicationCreditControl)
-        .text(avp::kServiceContextId, "calls@" + std::string(kRealm))
-        .u32(avp::kCcRequestType, diameter::kInitial)
-        .u32(avp::kCcRequestNumber, 0)
-        .text(avp::kDestinationHost, core_name(wish.first_choice))
+    Builder out = begin_call_request(name_, session, diameter::kInitial, hop, ++end_to_end_);
+    out.text(avp::kDestinationHost, core_name(wish.first_choice))
         .text(avp::kCalledStationId, wish.called)
         .u32(avp::kServiceIdentifier, c.service_identifier)
         .u32(avp::kMaximumWaitTime, static_cast<std::uint32_t>(crowd_.scenario.patience_s * 1000))
@@ -88,7 +73,7 @@
                                                      : 0);
     Call& call = calls_[session];
     call.wish = std::move(wish);
-    call.hop = header.hop_by_hop;
+    call.hop = hop;
     crowd_.open += 1;
     call.timer = crowd_.loop.after(crowd_.scenario.patience_s + kAnswerSlack, [this, session] {
       note({{"event", "unanswered"}, {"session", session}});
@@ -138,16 +123,7 @@
     const std::size_t proxy = (number_ + moved_) % crowd_.run.proxies.size();
     auto stream = net::Stream::connect(crowd_.loop, {0x7F000001, crowd_.run.proxies[proxy]}, 64 << 20);
     Line::Handlers handlers;
-    handlers.on_open = [this] {
-      Header header;
-      header.flags = diameter::kRequest;
-      header.command = diameter::kCapabilitiesExchange;
-      header.hop_by_hop = ++hop_;
-      header.end_to_end = ++end_to_end_;
-      Builder cer(header);
-      write_capabilities(cer, name_, 1);
-      line_->send(cer.finish());
-    };
+    handlers.on_open = [this] { line_->send(make_cer(name_, ++hop_, 1)); };
     handlers.on_message = [this](const MessageView& view) { message(view); };
     handlers.on_closed = [this](const std::string&) { lost(); };
     line_ = std::make_unique<Line>(crowd_.loop, std::move(stream), crowd_.trace, name_,
@@ -204,11 +180,7 @@
         if (silent_) return;
         [[fallthrough]];
       case diameter::kDisconnectPeer: {
-        Builder answer(diameter::answer_header(view.header, false));
-        answer.u32(avp::kResultCode, diameter::kSuccess)
-            .text(avp::kOriginHost, name_)
-            .text(avp::kOriginRealm, kRealm);
-        line_->send(answer.finish());
+        line_->send(answer_base(view, name_, 1));
         if (view.header.command == diameter::kDisconnectPeer) ready_ = false;
         return;
       }
@@ -229,21 +201,9 @@
   }
 
   std::string termination(const std::string& session, const Call& call) {
-    Header header;
-    header.flags = diameter::kRequest | diameter::kProxiable;
-    header.command = diameter::kCreditControl;
-    header.application = diameter::kApplicationCreditControl;
-    header.hop_by_hop = ++hop_;
-    header.end_to_end = ++end_to_end_;
-    Builder out(header);
-    out.text(avp::kSessionId, session)
-        .text(avp::kOriginHost, name_)
-        .text(avp::kOriginRealm, kRealm)
-        .text(avp::kDestinationRealm, kRealm)
-        .u32(avp::kAuthApplicationId, diameter::kApplicationCreditControl)
-        .text(avp::kServiceContextId, "calls@" + std::string(kRealm))
-        .u32(avp::kCcRequestType, diameter::kTermination)
-        .u32(avp::kCcRequestNumber, 1);
+    hop_ += 1;
+    end_to_end_ += 1;
+    Builder out = begin_call_request(name_, session, diameter::kTermination, hop_, end_to_end_);
     if (!call.server.empty()) out.text(avp::kDestinationHost, call.server);
     return out.finish();
   }
@@ -325,7 +285,6 @@
     wish.call_class = std::discrete_distribution<std::size_t>(shares.begin(), shares.end())(crowd.random);
     wish.called = "234" + std::to_string(crowd.random() % 1000000);
     wish.first_choice = static_cast<std::uint32_t>(crowd.random() % crowd.scenario.cores);
-    wish.first = crowd.loop.now();
     ready[crowd.random() % ready.size()]->dial(std::move(wish));
   } else {
     write_note(crowd.trace, crowd.loop.now(), "callers", "", json{{"event", "no_proxy"}}.dump());
--- a/src/lab/core.cpp
+++ b/src/lab/core.cpp
@@ -187,19 +187,12 @@
       case diameter::kCapabilitiesExchange: {
         const auto* host = view.find(avp::kOriginHost.code);
         line.with = host != nullptr ? std::string(host->data) : "";
-        Builder cea(diameter::answer_header(view.header, false));
-        cea.u32(avp::kResultCode, diameter::kSuccess);
-        write_capabilities(cea, name_, origin_state_);
-        return line.send(cea.finish());
+        return line.send(answer_base(view, name_, origin_state_));
       }
       case diameter::kDeviceWatchdog:
       case diameter::kDisconnectPeer: {
         if (silent_ && view.header.command == diameter::kDeviceWatchdog) return;
-        Builder answer(diameter::answer_header(view.header, false));
-        answer.u32(avp::kResultCode, diameter::kSuccess)
-            .text(avp::kOriginHost, name_)
-            .text(avp::kOriginRealm, kRealm);
-        line.send(answer.finish());
+        line.send(answer_base(view, name_, origin_state_));
         return;
       }
       case diameter::kCreditControl:
--- a/src/lab/line.cpp
+++ b/src/lab/line.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "diameter/dictionary.hpp"
+#include "diameter/peer.hpp"
 #include "lab/scenario.hpp"
 
 namespace mintrock::lab {
@@ -90,6 +91,51 @@
       .u32(avp::kAuthApplicationId, diameter::kApplicationCreditControl);
 }
 
+diameter::Builder begin_call_request(const std::string& host, const std::string& session, std::uint32_t type,
+                                     std::uint32_t hop_by_hop, std::uint32_t end_to_end) {
+  namespace avp = diameter::avp;
+  diameter::Header header;
+  header.flags = diameter::kRequest | diameter::kProxiable;
+  header.command = diameter::kCreditControl;
+  header.application = diameter::kApplicationCreditControl;
+  header.hop_by_hop = hop_by_hop;
+  header.end_to_end = end_to_end;
+  diameter::Builder out(header);
+  out.text(avp::kSessionId, session)
+      .text(avp::kOriginHost, host)
+      .text(avp::kOriginRealm, kRealm)
+      .text(avp::kDestinationRealm, kRealm)
+      .u32(avp::kAuthApplicationId, diameter::kApplicationCreditControl)
+      .text(avp::kServiceContextId, "calls@" + std::string(kRealm))
+      .u32(avp::kCcRequestType, type)
+      .u32(avp::kCcRequestNumber, type == diameter::kInitial ? 0 : 1);
+  return out;
+}
+
+std::string make_cer(const std::string& host, std::uint32_t hop_by_hop, std::uint32_t origin_state) {
+  diameter::Header header;
+  header.flags = diameter::kRequest;
+  header.command = diameter::kCapabilitiesExchange;
+  header.hop_by_hop = hop_by_hop;
+  header.end_to_end = hop_by_hop;
+  diameter::Builder cer(header);
+  write_capabilities(cer, host, origin_state);
+  return cer.finish();
+}
+
+std::string answer_base(const diameter::MessageView& request, const std::string& host,
+                        std::uint32_t origin_state) {
+  namespace avp = diameter::avp;
+  diameter::Builder answer(diameter::answer_header(request.header, false));
+  answer.u32(avp::kResultCode, diameter::kSuccess);
+  if (request.header.command == diameter::kCapabilitiesExchange) {
+    write_capabilities(answer, host, origin_state);
+  } else {
+    answer.text(avp::kOriginHost, host).text(avp::kOriginRealm, kRealm);
+  }
+  return answer.finish();
+}
+
 void write_note(TraceWriter& trace, double time, const std::string& who, const std::string& with,
                 const std::string& json) {
   v1::Record out;
--- a/src/lab/line.hpp
+++ b/src/lab/line.hpp
@@ -52,6 +52,16 @@
 // Identity, realm and capabilities for a CER or a CEA of a stand-in.
 void write_capabilities(diameter::Builder& builder, const std::string& host, std::uint32_t origin_state);
 
+// A Credit-Control request as callers send it, but for what set-ups and ends have besides, which is added to
+// it; `type` is CC-Request-Type.
+diameter::Builder begin_call_request(const std::string& host, const std::string& session, std::uint32_t type,
+                                     std::uint32_t hop_by_hop, std::uint32_t end_to_end);
+
+// A stand-in's CER; and the success that answers a CER, DWR or DPR.
+std::string make_cer(const std::string& host, std::uint32_t hop_by_hop, std::uint32_t origin_state);
+std::string answer_base(const diameter::MessageView& request, const std::string& host,
+                        std::uint32_t origin_state);
+
 // A fact about a stand-in, as JSON.
 void write_note(TraceWriter& trace, double time, const std::string& who, const std::string& with,
                 const std::string& json);
