What a core server holds through lost connections is decided in a pure module

Found on reading again: core_side both worked sockets and decided which sessions outlive a connection, which releases are owed and what waits; no test could drive that at virtual times. Two faults stood in it: releases owed at first contact were dropped, and servers that the list took off were called for ever. Change: src/edge/core_sessions decides it, without I/O; core_side carries out. A gone server that holds nothing is left by DPR, and called again when it is back.

--- a/src/edge/core_side.hpp
+++ b/src/edge/core_side.hpp
@@ -1,27 +1,25 @@
 // The core servers as this proxy's peers: one connection each, set-ups and releases out, answers and cuts in.
 //
-// Nothing is decided here: what came of each attempt is told through CorePorts, once.
+// Nothing is decided here: core_sessions says what each server may hold, what is owed to it and what has
+// ended, and that is told through CorePorts, once for each attempt.
 #ifndef MINTROCK_SRC_EDGE_CORE_SIDE_HPP_
 #define MINTROCK_SRC_EDGE_CORE_SIDE_HPP_
 
 #include <cstdint>
-#include <deque>
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
-#include <unordered_map>
+#include <vector>
 
 #include "edge/call_desk.hpp"
 #include "edge/config.hpp"
+#include "edge/core_sessions.hpp"
 #include "edge/credit_control.hpp"
 #include "edge/peer_link.hpp"
 #include "list/pool_list.hpp"
 
 namespace mintrock::edge {
 
-using RecordPtr = std::shared_ptr<const CallRecord>;
-
 class CorePorts {
  public:
   virtual ~CorePorts() = default;
@@ -71,66 +69,29 @@
   const CoreCounts& counts() const { return counts_; }
 
  private:
-  struct Leg {  // an attempt, or the standing call it became, by its session
-    CallId call = 0;
-    std::uint32_t attempt = 0;
-    bool stands = false;
-    std::uint32_t hop_by_hop = 0;  // of its set-up
-    RecordPtr record;
-  };
-  struct Pending {
-    CallId call = 0;
-    std::uint32_t attempt = 0;
-    bool release = false;   // a CCR TERMINATION
-    bool given_up = false;  // nobody waits for it any more
-    double expires = 0;     // of those nobody waits for
-    RecordPtr record;
-  };
-  struct Queued {  // waits for the connection
-    CallId call = 0;
-    std::uint32_t attempt = 0;
-    double give_up_at = 0;
-    double until = 0;
-    RecordPtr record;
-  };
-  struct Owed {
-    RecordPtr record;
-    double until = 0;
-  };
   struct Server {
+    explicit Server(const CoreSessions::Settings& settings) : sessions(settings) {}
     ServerId id = 0;
     list::Entry entry;
     std::unique_ptr<PeerLink> link;
-    std::unordered_map<std::string, Leg> legs;
-    std::unordered_map<std::uint32_t, Pending> pending;
-    std::deque<std::pair<double, std::uint32_t>> lingering;  // pending ones that expire, in order
-    std::deque<Queued> queued;
-    // Releases that could not be sent, or may be lost: owed to the same process once it is back.
-    std::deque<Owed> owed;
-    net::TimerId queue_timer = 0;
-    net::TimerId hold_timer = 0;
-    std::uint32_t origin_state = 0;  // of the connection that is, or last was, up
-    bool lost = false;               // the connection was lost with calls standing
+    CoreSessions sessions;
+    net::TimerId timer = 0;  // of the sessions' deadline
     double load = -1;
   };
 
   Server* find(ServerId id);
   void make_link(Server& server);
-  void transmit(Server& server, CallId call, std::uint32_t attempt, double give_up_after_s, RecordPtr record);
-  void send_release(Server& server, const RecordPtr& record);
-  void owe(Server& server, RecordPtr record);
-  void pay(Server& server, bool same_process);
-  void give_up(Server& server, const Leg& leg);
-  void linger(Server& server, std::uint32_t hop_by_hop);
+  void transmit(Server& server, CoreSessions::Attempt who, double give_up_after_s, RecordPtr record);
+  void send_release(Server& server, RecordPtr record);
+  void end(const std::vector<CoreSessions::Attempt>& attempts, Outcome outcome);
+  void watch(Server& server);
+  void rest(Server& server);
   void on_up(Server& server);
   void on_down(Server& server, const std::string& why);
   void on_refused(Server& server, const std::string& why);
   void on_message(Server& server, const diameter::MessageView& view);
   void on_answer(Server& server, const diameter::MessageView& view);
   void on_abort(Server& server, const diameter::MessageView& view);
-  void cut_standing(Server& server);
-  void fail_queued(Server& server, Outcome outcome);
-  void watch_queue(Server& server);
 
   net::Loop& loop_;
   const diameter::LocalNode& local_;
--- a/src/edge/edge.hpp
+++ b/src/edge/edge.hpp
@@ -36,6 +36,7 @@
   const CoreCounts& core_counts() const { return core_.counts(); }
   // The state of a core server's peer machine, by its name; empty: not known.
   std::string core_state(const std::string& identity) const;
+  std::uint64_t list_revision() const { return book_.revision(); }
   std::size_t callers_connected() const { return front_.open_peers(); }
   std::size_t open_calls() const { return desk_.open(); }
   std::size_t standing_calls() const { return desk_.standing(); }
--- /dev/null
+++ b/tests/edge/core_sessions_test.cpp
@@ -0,0 +1,228 @@
+#include "edge/core_sessions.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <set>
+
+namespace mintrock::edge {
+namespace {
+
+using Kind = CoreSessions::Answer::Kind;
+
+RecordPtr record(const std::string& session) {
+  auto out = std::make_shared<CallRecord>();
+  out->session_id = session;
+  return out;
+}
+
+CoreSessions fresh(std::size_t most = 100) {
+  CoreSessions::Settings settings;
+  settings.most = most;
+  CoreSessions out(settings);
+  out.back(1, 0);
+  return out;
+}
+
+TEST(CoreSessions, ALateSuccessIsReleasedUnlessItsSessionIsInUseAnew) {
+  CoreSessions s = fresh();
+  s.sent_setup({1, 0}, record("a"), 10);
+  EXPECT_TRUE(s.over({1, 0}, "a", 1));
+  EXPECT_EQ(s.answered(10, "a", true).kind, Kind::kLateAndStands);
+  EXPECT_EQ(s.answered(10, "a", true).kind, Kind::kUnexpected) << "a second answer";
+  s.sent_setup({2, 0}, record("b"), 11);
+  EXPECT_TRUE(s.over({2, 0}, "b", 2));
+  s.sent_setup({2, 1}, record("b"), 12);
+  EXPECT_EQ(s.answered(11, "b", true).kind, Kind::kLate);
+  EXPECT_EQ(s.answered(12, "b", true).kind, Kind::kOfSetup);
+  EXPECT_EQ(s.standing(), 1u);
+}
+
+TEST(CoreSessions, WhatNeverLeftHoldsNothing) {
+  CoreSessions s = fresh();
+  s.wait({1, 0}, 3, record("a"), 0);
+  EXPECT_FALSE(s.over({1, 0}, "a", 0.1));
+  EXPECT_TRUE(s.take_waiting().empty());
+  EXPECT_FALSE(s.over({9, 0}, "none", 0.1));
+}
+
+TEST(CoreSessions, WaitingEndsByItsOwnTime) {
+  CoreSessions s = fresh();
+  s.wait({1, 0}, 3, record("a"), 0);
+  s.wait({2, 0}, 0.1, record("b"), 0);
+  EXPECT_DOUBLE_EQ(s.deadline(), 0.1);
+  EXPECT_EQ(s.tick(0.1).no_connection.size(), 1u);
+  EXPECT_DOUBLE_EQ(s.deadline(), 0.5);
+  EXPECT_EQ(s.tick(0.5).no_connection.size(), 1u);
+  EXPECT_GT(s.deadline(), 1e15);
+}
+
+TEST(CoreSessions, TheSameProcessKeepsItsCallsAndIsSentWhatItMissed) {
+  CoreSessions s = fresh();
+  s.sent_setup({1, 0}, record("stands"), 10);
+  s.answered(10, "stands", true);
+  s.sent_setup({2, 0}, record("out"), 11);
+  s.sent_setup({3, 0}, record("ending"), 12);
+  s.answered(12, "ending", true);
+  EXPECT_TRUE(s.over({3, 0}, "ending", 1));
+  s.sent_release(record("ending"), 13, 1);
+  const auto over = s.lost(2);
+  ASSERT_EQ(over.size(), 1u) << "the set-up that was out; its answer may be lost";
+  EXPECT_EQ(over[0].call, 2u);
+  const auto back = s.back(1, 3);
+  EXPECT_TRUE(back.cut.empty());
+  std::set<std::string> sessions;
+  for (const auto& each : back.releases) sessions.insert(each->session_id);
+  EXPECT_EQ(sessions, (std::set<std::string>{"out", "ending"}));
+  EXPECT_EQ(s.standing(), 1u);
+  EXPECT_GT(s.deadline(), 1e15) << "nothing is held against time any more";
+}
+
+TEST(CoreSessions, AnotherProcessHasLostThemAll) {
+  CoreSessions s = fresh();
+  s.sent_setup({1, 0}, record("stands"), 10);
+  s.answered(10, "stands", true);
+  s.sent_setup({2, 0}, record("out"), 11);
+  s.lost(2);
+  const auto back = s.back(2, 3);
+  ASSERT_EQ(back.cut.size(), 1u);
+  EXPECT_EQ(back.cut[0].call, 1u);
+  EXPECT_TRUE(back.releases.empty()) << "the new process holds nothing";
+  EXPECT_EQ(s.owed(), 0u);
+}
+
+// A caller ends a call that an earlier life of this proxy set up, before the server's connection stands.
+TEST(CoreSessions, WhatIsOwedAtFirstContactIsSent) {
+  CoreSessions s{CoreSessions::Settings{}};
+  s.owe(record("of an earlier life"), 0);
+  EXPECT_EQ(s.back(7, 1).releases.size(), 1u);
+}
+
+TEST(CoreSessions, TheHoldTimeCutsAndOwes) {
+  CoreSessions s = fresh();
+  s.sent_setup({1, 0}, record("stands"), 10);
+  s.answered(10, "stands", true);
+  s.lost(2);
+  EXPECT_DOUBLE_EQ(s.deadline(), 4);
+  EXPECT_TRUE(s.tick(3.9).cut.empty());
+  EXPECT_EQ(s.tick(4).cut.size(), 1u);
+  EXPECT_EQ(s.back(1, 5).releases.size(), 1u) << "it was alive all the time";
+}
+
+TEST(CoreSessions, OwedReleasesAreForgottenByAgeAndNumber) {
+  CoreSessions s = fresh(10);
+  for (int i = 0; i < 50; ++i) s.owe(record(std::to_string(i)), 0);
+  EXPECT_EQ(s.owed(), 10u);
+  EXPECT_TRUE(s.back(1, 31).releases.empty());
+  // And so are answers that never come.
+  for (std::uint32_t i = 0; i < 50; ++i) {
+    s.sent_setup({i, 0}, record("x" + std::to_string(i)), 100 + i);
+    s.over({i, 0}, "x" + std::to_string(i), 40);
+  }
+  EXPECT_LE(s.pending(), 11u);
+}
+
+TEST(CoreSessions, AnAbortedSetupIsOverAndItsAnswerLate) {
+  CoreSessions s = fresh();
+  s.sent_setup({1, 0}, record("a"), 10);
+  EXPECT_EQ(s.aborted("a", 1)->call, 1u);
+  EXPECT_FALSE(s.aborted("a", 1));
+  EXPECT_EQ(s.answered(10, "a", false).kind, Kind::kLate);
+}
+
+// A server that answers, loses, forgets and comes back at random: each attempt ends once, and once all is
+// over the server holds nothing that was not released, or owed to it.
+TEST(CoreSessions, RandomLossesLeaveNothingBehind) {
+  for (std::uint64_t seed = 0; seed < 300; ++seed) {
+    std::mt19937_64 random(seed);
+    CoreSessions s = fresh(10000);
+    std::uint32_t state = 1, hop = 0;
+    bool connected = true;
+    std::set<std::string> held;                           // at the server
+    std::map<std::uint32_t, std::string> asked, answers;  // set-ups under way, answers under way
+    std::map<CallId, int> ended, begun;
+    std::vector<CallId> standing;
+    double now = 0;
+    const auto end = [&](const std::vector<CoreSessions::Attempt>& over) {
+      for (const auto& each : over) ended[each.call] += 1;
+    };
+    const auto release = [&](const std::string& session) {
+      if (!connected) return s.owe(record(session), now);
+      s.sent_release(record(session), ++hop, now);
+      if (random() % 4 != 0)
+        held.erase(session);  // else lost with the connection, which breaks at once
+      else {
+        end(s.lost(now));
+        connected = false;
+      }
+    };
+    const auto reconnect = [&] {
+      if (connected) return;
+      connected = true;
+      if (random() % 4 == 0) {
+        state += 1;
+        held.clear();
+      }
+      const auto back = s.back(state, now);
+      end(back.cut);
+      for (const auto& each : back.releases) {
+        s.sent_release(each, ++hop, now);
+        held.erase(each->session_id);
+        s.answered(hop, each->session_id, false);
+      }
+    };
+    for (CallId call = 1; call <= 60; ++call) {
+      now += 0.01;
+      reconnect();
+      const std::string session = "s" + std::to_string(call);
+      s.sent_setup({call, 0}, record(session), ++hop);
+      begun[call] = 1;
+      const std::uint32_t mine = hop;
+      if (random() % 5 != 0) held.insert(session);
+      const bool stands = held.count(session) != 0;
+      switch (random() % 4) {
+        case 0: {  // answered
+          const auto answer = s.answered(mine, session, stands);
+          EXPECT_EQ(answer.kind, Kind::kOfSetup);
+          if (!stands) ended[call] += 1;
+          break;
+        }
+        case 1:  // given up, answered late
+          if (s.over({call, 0}, session, now)) release(session);
+          ended[call] += 1;
+          if (connected && s.answered(mine, session, stands).kind == Kind::kLateAndStands) release(session);
+          break;
+        case 2:  // the connection is lost with it out
+          end(s.lost(now));
+          connected = false;
+          break;
+        default:  // stands, and is ended
+          if (s.answered(mine, session, stands).kind == Kind::kOfSetup && !stands) {
+            ended[call] += 1;
+          } else if (s.over({call, 0}, session, now)) {
+            ended[call] += 1;
+            release(session);
+          }
+      }
+    }
+    // All that still stands is ended by its callers.
+    reconnect();
+    for (CallId call = 1; call <= 60; ++call) {
+      const std::string session = "s" + std::to_string(call);
+      if (!s.over({call, 0}, session, now)) continue;
+      ended[call] += 1;
+      s.sent_release(record(session), ++hop, now);
+      held.erase(session);
+    }
+    end(s.lost(now));
+    connected = false;
+    reconnect();
+    for (const auto& [call, times] : begun) EXPECT_EQ(ended[call], 1) << "call " << call << ", seed " << seed;
+    EXPECT_TRUE(held.empty()) << held.size() << " left at the server, seed " << seed;
+    EXPECT_EQ(s.out() + s.standing(), 0u);
+  }
+}
+
+}  // namespace
+}  // namespace mintrock::edge
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -457,6 +457,23 @@
   EXPECT_EQ(core.setups, 0);
 }
 
+// A server that the list took off is left once it holds no call, and called again when it is back on the
+// list.
+TEST_F(Rig, AServerThatIsGoneIsLeftOnceItHoldsNothing) {
+  start();
+  connect();
+  caller.ccr("last", 1, 1);
+  wait([&] { return caller.results["last"].size() == 1; }, "it stands");
+  publish(2, ServerEntry::State::kGone);
+  wait([&] { return edge->list_revision() == 2; }, "the news has come");
+  EXPECT_EQ(core.dprs, 0) << "a call stands there";
+  caller.ccr("last", 3, 3);
+  wait([&] { return core.dprs == 1; }, "left");
+  EXPECT_EQ(core.ends, 1);
+  publish(3, ServerEntry::State::kReady);
+  wait([&] { return core.lines.size() == 2; }, "called again");
+}
+
 TEST_F(Rig, ShutdownAnswersWhatIsOpenRefusesWhatIsNewAndSaysGoodbye) {
   start();
   connect();
