--- a/src/diameter/codec.cpp
+++ b/src/diameter/codec.cpp
@@ -14,7 +14,9 @@
 }
 
 void put(std::string& out, std::uint64_t value, std::size_t width) {
-  for (std::size_t i = width; i-- > 0;) out.push_back(static_cast<char>(value >> (8 * i) & 0xFF));
+  char bytes[8];
+  for (std::size_t i = 0; i < width; ++i) bytes[i] = static_cast<char>(value >> (8 * (width - 1 - i)) & 0xFF);
+  out.append(bytes, width);
 }
 
 void put_at(std::string& out, std::size_t at, std::uint32_t value, std::size_t width) {
@@ -139,7 +141,7 @@
 }
 
 Builder::Builder(const Header& header) {
-  out_.reserve(256);
+  out_.reserve(512);  // most messages are shorter
   put(out_, header.version, 1);
   put(out_, 0, 3);
   put(out_, header.flags, 1);
@@ -151,9 +153,8 @@
 
 void Builder::head(const AvpDef& def, std::size_t data_length) {
   const std::size_t size = (def.vendor != 0 ? 12 : 8) + data_length;
-  put(out_, def.code, 4);
-  put(out_, (def.vendor != 0 ? kVendorBit : 0) | (def.mandatory ? kMandatoryBit : 0), 1);
-  put(out_, size, 3);
+  const std::uint64_t flags = (def.vendor != 0 ? kVendorBit : 0) | (def.mandatory ? kMandatoryBit : 0);
+  put(out_, std::uint64_t{def.code} << 32 | flags << 24 | (size & kMaxLength), 8);
   if (def.vendor != 0) put(out_, def.vendor, 4);
 }
 
--- a/src/diameter/duplicates.hpp
+++ b/src/diameter/duplicates.hpp
@@ -7,9 +7,10 @@
 
 #include <cstdint>
 #include <deque>
-#include <map>
+#include <functional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 
 namespace mintrock::diameter {
@@ -45,6 +46,11 @@
 
  private:
   using Key = std::pair<std::string, std::uint32_t>;
+  struct KeyHash {
+    std::size_t operator()(const Key& key) const {
+      return std::hash<std::string>()(key.first) ^ key.second * std::size_t{0x9E3779B97F4A7C15u};
+    }
+  };
   void expire(double now) {
     while (!order_.empty() && order_.front().first <= now) drop_oldest();
   }
@@ -55,7 +61,7 @@
 
   std::size_t most_;
   double keep_s_;
-  std::map<Key, Entry> entries_;
+  std::unordered_map<Key, Entry, KeyHash> entries_;
   std::deque<std::pair<double, Key>> order_;
 };
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -10,6 +10,7 @@
 #include "config/yaml.hpp"
 #include "lab/bench.hpp"
 #include "lab/checker.hpp"
+#include "lab/import_day.hpp"
 #include "lab/parts.hpp"
 #include "lab/trace.hpp"
 
@@ -87,31 +88,47 @@
     status = out.good() ? 0 : 1;
   });
 
-  lab::BenchOptions bench;
-  CLI::App* measure = app.add_subcommand("bench", "what the proxy costs, beside a bare relay");
-  measure->add_option("--edge", bench.edge_program, "the mintrock-edge to measure");
-  measure->add_option("--seconds", bench.seconds, "of each measurement")->check(CLI::Range(0.1, 600.0));
-  measure->add_option("--rounds", bench.rounds, "of all measurements, in turns")->check(CLI::Range(1, 1000));
-  measure->add_option("--outstanding", bench.outstanding, "calls at once")->check(CLI::Range(1, 100000));
-  measure->add_option("--report", bench.report, "write the figures there, as JSON");
-  measure->callback([&] {
-    if (bench.edge_program.empty()) bench.edge_program = beside("mintrock-edge");
-    status = lab::run_bench(bench);
-  });
-  std::uint16_t port = 0, to = 0;
-  CLI::App* bench_core = app.add_subcommand("bench-core", "a core server of `bench`")->group("");
-  bench_core->add_option("--port", port)->required();
-  bench_core->callback([&] { status = lab::run_bench_core(port); });
-  CLI::App* bench_relay = app.add_subcommand("bench-relay", "the bare relay of `bench`")->group("");
-  bench_relay->add_option("--port", port)->required();
-  bench_relay->add_option("--to", to)->required();
-  bench_relay->callback([&] { status = lab::run_bench_relay(port, to); });
-
-  try {
-    CLI11_PARSE(app, argc, argv);
-    return status;
-  } catch (const std::exception& error) {
-    std::fprintf(stderr, "mintrock-lab: %s\n", error.what());
-    return 1;
+  std::string day, into;
+  std::uint32_t cores = 3, proxies = 4;
+  CLI::App* import = app.add_subcommand("import-day", "turns a day of the bench into a scenario");
+  import->add_option("day", day, "the day, as `lbsim draw -o` writes it")->required();
+  import->add_option("-o,--output", into, "the scenario; standard output if not told");
+  import->add_option("--cores", cores, "core servers, at most")->check(CLI::Range(1, 64));
+  import->add_option("--proxies", proxies, "proxies, at most")->check(CLI::Range(1, 64));
+  import->callback([&] {
+    const std::string text = lab::import_day(day, cores, proxies);
+  if (into.empty()) {
+    std::fputs(text.c_str(), stdout);
+  } else if (!(std::ofstream(into) << text)) {
+    throw std::runtime_error(into + ": cannot be written");
   }
+});
+
+lab::BenchOptions bench;
+CLI::App* measure = app.add_subcommand("bench", "what the proxy costs, beside a bare relay");
+measure->add_option("--edge", bench.edge_program, "the mintrock-edge to measure");
+measure->add_option("--seconds", bench.seconds, "of each measurement")->check(CLI::Range(0.1, 600.0));
+measure->add_option("--rounds", bench.rounds, "of all measurements, in turns")->check(CLI::Range(1, 1000));
+measure->add_option("--outstanding", bench.outstanding, "calls at once")->check(CLI::Range(1, 100000));
+measure->add_option("--report", bench.report, "write the figures there, as JSON");
+measure->callback([&] {
+  if (bench.edge_program.empty()) bench.edge_program = beside("mintrock-edge");
+  status = lab::run_bench(bench);
+});
+std::uint16_t port = 0, to = 0;
+CLI::App* bench_core = app.add_subcommand("bench-core", "a core server of `bench`")->group("");
+bench_core->add_option("--port", port)->required();
+bench_core->callback([&] { status = lab::run_bench_core(port); });
+CLI::App* bench_relay = app.add_subcommand("bench-relay", "the bare relay of `bench`")->group("");
+bench_relay->add_option("--port", port)->required();
+bench_relay->add_option("--to", to)->required();
+bench_relay->callback([&] { status = lab::run_bench_relay(port, to); });
+
+try {
+  CLI11_PARSE(app, argc, argv);
+  return status;
+} catch (const std::exception& error) {
+  std::fprintf(stderr, "mintrock-lab: %s\n", error.what());
+  return 1;
+}
 }
