--- a/include/mintrock/controller.hpp
+++ b/include/mintrock/controller.hpp
@@ -106,7 +106,15 @@
 };
 
 enum class Outcome { kEnded, kError, kFull, kTimedOut, kConnectFailed, kReset, kCancelled, kNotSent };
-enum class Cause { kNone, kNoLine, kTurnedBack, kProcessorFull, kNumberBusy };
+enum class Cause {
+  kNone,
+  kNoLine,
+  kTurnedBack,
+  kProcessorFull,
+  kNumberBusy,
+  kUnfit,    // with kError: for good, and of this server's own; another may take the call
+  kRejected  // with kError: for good, and of the call's own; no server takes it
+};
 
 struct AttemptEnded {
   CallId call = 0;
@@ -151,6 +159,8 @@
 struct RefuseCall {  // final: not served, the caller may come back
   CallId call = 0;
   double retry_after_s = 0;  // 0: no advice
+  bool as_answered =
+      false;  // what the last attempt met (kUnfit, kRejected) is the answer: no use coming back
 };
 
 struct FailCall {  // final: failed; used where a refusal is not allowed
--- a/src/edge/call_desk.cpp
+++ b/src/edge/call_desk.cpp
@@ -197,7 +197,9 @@
   if (found == calls_.end() || found->second.state == View::State::kStands) return;
   Call& call = found->second;
   if (call.state == View::State::kOut) ports_.release(id, call.attempts - 1, call.server);
-  (verdict.kind == Verdict::Kind::kRefused ? counts_.refused : counts_.failed) += 1;
+  (verdict.kind == Verdict::Kind::kRefused    ? counts_.refused
+   : verdict.kind == Verdict::Kind::kRejected ? counts_.rejected
+                                              : counts_.failed) += 1;
   ports_.answer(id, verdict);
   drop(id);
 }
@@ -213,6 +215,11 @@
 }
 
 void CallDesk::act(const RefuseCall& action, double now) {
+  if (action.as_answered) {
+    const auto found = calls_.find(action.call);
+    const ServerId server = found != calls_.end() ? found->second.server : 0;
+    return finish(action.call, {Verdict::Kind::kRejected, 0, server, "rejected"}, now);
+  }
   finish(action.call, {Verdict::Kind::kRefused, action.retry_after_s, 0, "no room"}, now);
 }
 
--- a/src/edge/call_desk.hpp
+++ b/src/edge/call_desk.hpp
@@ -32,7 +32,7 @@
 
 // The final answer of a call's set-up.
 struct Verdict {
-  enum class Kind { kStands, kRefused, kFailed };
+  enum class Kind { kStands, kRefused, kFailed, kRejected };  // rejected: as a core server answered, for good
   Kind kind = Kind::kFailed;
   double retry_after_s = 0;  // refused: come back after this; 0: no advice
   ServerId server = 0;       // stands: where
@@ -67,6 +67,7 @@
   std::uint64_t stood = 0;
   std::uint64_t refused = 0;
   std::uint64_t failed = 0;
+  std::uint64_t rejected = 0;     // for good, by core servers
   std::uint64_t abandoned = 0;    // by the caller, before an answer
   std::uint64_t turned_away = 0;  // refused, since the table was full or the proxy draining
   std::uint64_t overdue = 0;      // answered by the desk itself at the caller's end: a fault of ours
--- a/src/edge/config.cpp
+++ b/src/edge/config.cpp
@@ -28,7 +28,7 @@
   }
 }
 
-void read_class(config::Section& from, Config& out) {
+void read_class(config::Section& from, Config& out, std::vector<std::string>& names) {
   Settings::Class each;
   std::string name;
   std::uint32_t service = 0;
@@ -47,12 +47,28 @@
   from.read_numbers("nodes", each.nodes);
   if (each.aim_s > each.deadline_s) from.fail("aim", "is longer than the deadline");
   const auto place = static_cast<std::uint32_t>(out.settings.classes.size());
-  if (!out.class_of_service.emplace(service, place).second) {
+  names.push_back(name);
+  if (!out.classes.by_service.emplace(service, place).second) {
     from.fail("service_identifier", std::to_string(service) + " names another class already");
   }
   out.settings.classes.push_back(each);
 }
 
+void read_realm(config::Section& from, Config& out) {
+  std::string realm;
+  std::size_t action = 0;
+  from.require("realm");
+  from.read("realm", realm);
+  from.require("action");
+  from.read_choice("action", {"local", "refuse"}, action);
+  const auto what = action == 0 ? Realms::Action::kLocal : Realms::Action::kRefuse;
+  if (realm == "*") {
+    out.other_realms = what;
+  } else if (!out.realms.emplace(Realms::folded(realm), what).second) {
+    from.fail("realm", realm + " stands twice");
+  }
+}
+
 }  // namespace
 
 void read_rules(config::Section& from, Settings& out) {
@@ -95,6 +111,7 @@
     from.read_time("session_hold", out.callers.session_hold_s, 0, kDay);
     from.read("max_connections", out.callers.max_connections, 1, 1000000);
     from.read("max_unsent", out.callers.max_unsent, 4096, 1u << 30);
+    from.read_time("end_wait", out.callers.end_wait_s, 0.01, 60);
     from.read_time("duplicates_kept", out.callers.duplicates_s, 0, kDay);
     from.read("max_duplicates", out.callers.max_duplicates, 1, 10000000);
   });
@@ -124,8 +141,15 @@
     s.tells_peers = !peers.empty();
   });
   top.require("classes");
-  top.sections("classes", [&](config::Section& from) { read_class(from, out); });
+  std::vector<std::string> names;
+  top.sections("classes", [&](config::Section& from) { read_class(from, out, names); });
   if (s.classes.empty()) top.fail("classes", "is empty");
+  std::vector<std::string> choices = names;
+  choices.emplace_back("refuse");
+  std::size_t unknown = names.size();
+  top.read_choice("unknown_class", choices, unknown);
+  if (unknown < names.size()) out.classes.unknown = static_cast<std::uint32_t>(unknown);
+  top.sections("realms", [&](config::Section& from) { read_realm(from, out); });
   top.section("rules", [&](config::Section& from) { read_rules(from, s); });
   s.gives_retry_after = s.max_retry_after_s > 0;
   s.asks_for_list = true;
@@ -158,7 +182,10 @@
                     a.core.reconnect_s == b.core.reconnect_s && a.core.connect_s == b.core.connect_s &&
                     a.core.session_hold_s == b.core.session_hold_s && a.core.linger_s == b.core.linger_s &&
                     a.core.max_unsent == b.core.max_unsent);
-  fixed("callers", a.callers.duplicates_s == b.callers.duplicates_s &&
+  fixed("realms", a.realms == b.realms && a.other_realms == b.other_realms);
+  fixed("unknown_class", a.classes.unknown == b.classes.unknown);
+  fixed("callers", a.callers.end_wait_s == b.callers.end_wait_s &&
+                       a.callers.duplicates_s == b.callers.duplicates_s &&
                        a.callers.max_duplicates == b.callers.max_duplicates);
   fixed("limits.message_bytes", a.max_message == b.max_message);
   fixed("seed", a.seed == b.seed);
@@ -174,7 +201,7 @@
            x.nodes == y.nodes;
   };
   bool classes =
-      a.settings.classes.size() == b.settings.classes.size() && a.class_of_service == b.class_of_service;
+      a.settings.classes.size() == b.settings.classes.size() && a.classes.by_service == b.classes.by_service;
   for (std::size_t i = 0; classes && i < a.settings.classes.size(); ++i) {
     classes = same_class(a.settings.classes[i], b.settings.classes[i]);
   }
--- a/src/edge/config.hpp
+++ b/src/edge/config.hpp
@@ -9,6 +9,7 @@
 
 #include "config/yaml.hpp"
 #include "diameter/peer.hpp"
+#include "edge/request_routing.hpp"
 #include "mintrock/controller.hpp"
 #include "net/loop.hpp"
 
@@ -39,6 +40,7 @@
     double session_hold_s = 10;      // standing calls outlive their caller's connection for so long
     std::uint32_t max_connections = 10000;
     std::uint32_t max_unsent = 1 << 20;  // bytes
+    double end_wait_s = 2;               // for a core server's word that a call has ended
     double duplicates_s = 30;            // how long an answer is kept for a repeated request
     std::uint32_t max_duplicates = 100000;
   } callers;
@@ -63,9 +65,11 @@
 
   std::uint32_t max_calls = 20000;  // open and standing, together
   std::uint32_t max_message = 65536;
-  std::uint64_t seed = 0;                                   // 0: drawn at start
-  std::map<std::uint32_t, std::uint32_t> class_of_service;  // Service-Identifier -> place in classes
-  Settings settings;                                        // what the Controller is told
+  std::uint64_t seed = 0;  // 0: drawn at start
+  ClassTable classes;
+  std::map<std::string, Realms::Action> realms;
+  Realms::Action other_realms = Realms::Action::kRefuse;
+  Settings settings;  // what the Controller is told
 };
 
 // The `rules` of a configuration, or of a scenario of the lab.
--- a/src/edge/core_sessions.cpp
+++ b/src/edge/core_sessions.cpp
@@ -71,11 +71,14 @@
 CoreSessions::Answer CoreSessions::answered(std::uint32_t hop_by_hop, const std::string& session,
                                             bool stands) {
   const auto found = pending_.find(hop_by_hop);
-  if (found == pending_.end() || found->second.record->session_id != session) return {};
+  // An error answer may come without a session (RFC 6733 section 7.2).
+  const bool other =
+      !session.empty() && found != pending_.end() && found->second.record->session_id != session;
+  if (found == pending_.end() || other) return {};
   const Pending pending = std::move(found->second);
   pending_.erase(found);
   Answer out{Answer::Kind::kOfSetup, pending.who, pending.record};
-  const auto leg = legs_.find(session);
+  const auto leg = legs_.find(pending.record->session_id);
   if (pending.release) {
     out.kind = Answer::Kind::kOfRelease;
   } else if (pending.given_up) {
@@ -128,7 +131,11 @@
   if (!same_process) out.cut = cut_all(now);
   for (Owed& each : std::exchange(owed_, {})) {
     const bool in_use = legs_.count(each.record->session_id) != 0;
-    if (same_process && each.until > now && !in_use) out.releases.push_back(std::move(each.record));
+    if (!same_process) {
+      out.released.push_back(std::move(each.record));  // with the process that held it
+    } else if (each.until > now && !in_use) {
+      out.releases.push_back(std::move(each.record));
+    }
   }
   return out;
 }
--- a/src/edge/core_sessions.hpp
+++ b/src/edge/core_sessions.hpp
@@ -85,6 +85,7 @@
   struct Back {
     std::vector<Attempt> cut;         // calls that stood at a process that is no more
     std::vector<RecordPtr> releases;  // to be sent before anything else
+    std::vector<RecordPtr> released;  // owed to a process that is no more: nothing is held any longer
   };
   Back back(std::uint32_t origin_state, double now);
 
--- a/src/edge/core_side.cpp
+++ b/src/edge/core_side.cpp
@@ -129,12 +129,14 @@
   server.sessions.sent_setup(who, std::move(record), hop);
 }
 
-void CoreSide::release(CallId call, std::uint32_t attempt, ServerId id, RecordPtr record) {
+bool CoreSide::release(CallId call, std::uint32_t attempt, ServerId id, RecordPtr record) {
   Server* server = find(id);
-  if (server == nullptr || record == nullptr) return;
-  if (server->sessions.over({call, attempt}, record->session_id, loop_.now())) send_release(*server, record);
+  if (server == nullptr || record == nullptr) return false;
+  const bool sent = server->sessions.over({call, attempt}, record->session_id, loop_.now());
+  if (sent) send_release(*server, record);
   watch(*server);
   rest(*server);
+  return sent;
 }
 
 void CoreSide::send_release(Server& server, RecordPtr record) {
@@ -145,13 +147,24 @@
   server.sessions.sent_release(std::move(record), hop, loop_.now());
 }
 
-bool CoreSide::pass_termination(const std::string& identity, const CallRecord& record) {
+std::uint32_t CoreSide::pass_termination(const std::string& identity, const CallRecord& record) {
+  std::uint32_t asked = 0;
+  RecordPtr shared;
   for (auto& [id, server] : servers_) {
-    if (server->entry.identity != identity || !server->link) continue;
-    send_release(*server, std::make_shared<CallRecord>(record));
-    return true;
+    const bool named = server->entry.identity == identity;
+    // One that the list has taken off holds something only if it can still be asked.
+    const bool may_hold =
+        server->entry.state != ServerEntry::State::kGone || (server->link && server->link->peer().open());
+    if (!server->link || (!named && !(identity.empty() && may_hold))) continue;
+    if (!shared) shared = std::make_shared<CallRecord>(record);
+    send_release(*server, shared);
+    asked += 1;
   }
-  return false;
+  return asked;
+}
+
+void CoreSide::released(const std::vector<RecordPtr>& records) {
+  for (const RecordPtr& each : records) ports_.core_released(each->session_id, true);
 }
 
 void CoreSide::end(const std::vector<CoreSessions::Attempt>& attempts, Outcome outcome) {
@@ -195,6 +208,7 @@
   std::vector<CoreSessions::Waiting> waiting = server.sessions.take_waiting();
   watch(server);
   end(back.cut, Outcome::kReset);
+  released(back.released);
   for (CoreSessions::Waiting& each : waiting) {
     if (server.entry.state != ServerEntry::State::kReady) {
       ports_.core_ended(each.who.call, each.who.attempt, outcome_only(Outcome::kNotSent));
@@ -253,7 +267,17 @@
     case Kind::kLate:
       counts_.late += 1;
       return ports_.core_load(server.id, answer);
+    case Kind::kOfRelease:
+      // One that can't be carried out now is no confirmation: the caller says it again.
+      if (group_of(answer.result) == ResultGroup::kProtocolError ||
+          group_of(answer.result) == ResultGroup::kTransient) {
+        return;
+      }
+      return ports_.core_released(known.record->session_id, answer.stands);
     case Kind::kOfSetup:
+      if (const auto warning = server.answers.answered(loop_.now(), answer.result, answer.failed_avp)) {
+        ports_.core_errors(server.entry.identity, *warning);
+      }
       if (answer.stands) return ports_.core_stood(known.who.call, known.who.attempt, answer);
       return ports_.core_ended(known.who.call, known.who.attempt, answer);
     default:
@@ -295,6 +319,7 @@
     view.out = server->sessions.out();
     view.standing = server->sessions.standing();
     view.load = server->load;
+    view.answers = &server->answers;
     out.push_back(std::move(view));
   }
   return out;
--- a/src/edge/core_side.hpp
+++ b/src/edge/core_side.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "edge/answer_watch.hpp"
 #include "edge/call_desk.hpp"
 #include "edge/config.hpp"
 #include "edge/core_sessions.hpp"
@@ -26,6 +27,10 @@
   virtual void core_stood(CallId call, std::uint32_t attempt, const CoreAnswer& answer) = 0;
   virtual void core_ended(CallId call, std::uint32_t attempt, const CoreAnswer& answer) = 0;
   virtual void core_load(ServerId server, const CoreAnswer& answer) = 0;
+  // A release is confirmed: the server has ended the session, or knows of none (`ended` false).
+  virtual void core_released(const std::string& session, bool ended) = 0;
+  // A server answers errors; rate-limited.
+  virtual void core_errors(const std::string& server, const AnswerWatch::Warning& warning) = 0;
   // One line of the log about a server's connection.
   virtual void core_event(const std::string& server, const char* event, const std::string& detail) = 0;
 };
@@ -47,9 +52,12 @@
   void update(ServerId server, const list::Entry& entry);
   Handover send_setup(CallId call, std::uint32_t attempt, ServerId server, double give_up_after_s,
                       RecordPtr record);
-  void release(CallId call, std::uint32_t attempt, ServerId server, RecordPtr record);
-  // The end of a call that another proxy set up. False: no such server.
-  bool pass_termination(const std::string& server, const CallRecord& record);
+  // True: the server is sent a release, now or once it can be, and `core_released` tells when it is
+  // confirmed.
+  bool release(CallId call, std::uint32_t attempt, ServerId server, RecordPtr record);
+  // The end of a call that another proxy set up, at the server of that name; an empty one asks all that may
+  // hold it. How many are asked.
+  std::uint32_t pass_termination(const std::string& server, const CallRecord& record);
   // An accepted connection whose CER names one of the core servers; false: it names none.
   bool offer_connection(const std::shared_ptr<net::Stream>& stream, const diameter::MessageView& cer,
                         std::string_view rest);
@@ -64,6 +72,7 @@
     std::size_t out = 0;
     std::size_t standing = 0;
     double load = -1;
+    const AnswerWatch* answers = nullptr;  // lives as long as this
   };
   std::vector<View> servers() const;
   const CoreCounts& counts() const { return counts_; }
@@ -77,12 +86,14 @@
     CoreSessions sessions;
     net::TimerId timer = 0;  // of the sessions' deadline
     double load = -1;
+    AnswerWatch answers;
   };
 
   Server* find(ServerId id);
   void make_link(Server& server);
   void transmit(Server& server, CoreSessions::Attempt who, double give_up_after_s, RecordPtr record);
   void send_release(Server& server, RecordPtr record);
+  void released(const std::vector<RecordPtr>& records);
   void end(const std::vector<CoreSessions::Attempt>& attempts, Outcome outcome);
   void watch(Server& server);
   void rest(Server& server);
--- a/src/edge/credit_control.cpp
+++ b/src/edge/credit_control.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "edge/results.hpp"
+
 namespace mintrock::edge {
 namespace {
 
@@ -136,6 +138,7 @@
       .u32(avp::kCcRequestNumber, call.request_number);
   if (answer.retry_after_s > 0) out.u32(avp::kRetryAfter, milliseconds(answer.retry_after_s));
   if (!answer.text.empty()) out.text(avp::kErrorMessage, answer.text);
+  if (!answer.failed_avp.empty()) out.text(avp::kFailedAvp, answer.failed_avp);
   out.raw(call.proxy_info);
   return out.finish();
 }
@@ -169,7 +172,7 @@
 
 CoreAnswer read_core_answer(const MessageView& answer) {
   CoreAnswer out;
-  const std::uint32_t result = number(answer, avp::kResultCode).value_or(0);
+  out.result = number(answer, avp::kResultCode).value_or(0);
   double wait_s = 0;
   if (const AvpView* group = answer.find(avp::kServerLoad.code, avp::kServerLoad.vendor)) {
     MessageView inner;
@@ -191,30 +194,14 @@
     // RFC 8583 section 7.3: 0 to 65535, of HOST (0)
     if (raw && type.value_or(1) == 0) out.load = std::min(1.0, static_cast<double>(*raw) / 65535.0);
   }
-  if (result / 1000 == 2) {
-    out.stands = true;
-    return out;
-  }
-  switch (result) {
-    case diameter::kTooBusy:
-      out.outcome = Outcome::kFull;
-      out.cause = Cause::kProcessorFull;
-      out.told_wait_s = wait_s;
-      break;
-    case diameter::kResourcesExceeded:
-      out.outcome = Outcome::kFull;
-      out.cause = Cause::kNoLine;
-      break;
-    case diameter::kUnableToDeliver:
-      out.outcome = Outcome::kFull;
-      out.cause = Cause::kTurnedBack;
-      break;
-    case diameter::kEndUserServiceDenied:
-      out.outcome = Outcome::kError;
-      out.cause = Cause::kNumberBusy;
-      break;
-    default:
-      out.outcome = Outcome::kError;
+  const Meaning meaning = meaning_of(out.result);
+  out.stands = meaning.stands;
+  out.outcome = meaning.outcome;
+  out.cause = meaning.cause;
+  if (out.cause == Cause::kProcessorFull) out.told_wait_s = wait_s;
+  if (!out.stands) {
+    out.failed_avp = text(answer, avp::kFailedAvp);
+    out.text = text(answer, avp::kErrorMessage);
   }
   return out;
 }
--- a/src/edge/credit_control.hpp
+++ b/src/edge/credit_control.hpp
@@ -59,6 +59,7 @@
   std::string origin_realm;
   double retry_after_s = 0;  // 0: none
   std::string text;          // Error-Message
+  std::string failed_avp;    // data of the Failed-AVP; empty: none
 };
 std::string write_setup_answer(const CallRecord& call, const SetupAnswer& answer);
 
@@ -71,12 +72,15 @@
 
 // What a core server's answer to a set-up says.
 struct CoreAnswer {
+  std::uint32_t result = 0;  // 0: it has none
   bool stands = false;
   Outcome outcome = Outcome::kError;
   Cause cause = Cause::kNone;
   double told_wait_s = 0;
   Report report;
   std::optional<double> load;  // RFC 8583, of the host, 0 to 1
+  std::string failed_avp;      // data of the first Failed-AVP
+  std::string text;            // Error-Message
 };
 CoreAnswer read_core_answer(const diameter::MessageView& answer);
 
--- a/src/edge/diameter_front.cpp
+++ b/src/edge/diameter_front.cpp
@@ -9,6 +9,14 @@
 
 using diameter::MessageView;
 using diameter::Result;
+namespace {
+
+// The bytes that a view was decoded from.
+std::string frame_of(const MessageView& view) {
+  return std::string(view.avps.front().whole.data() - diameter::kHeaderSize, view.header.length);
+}
+
+}  // namespace
 
 DiameterFront::DiameterFront(
     net::Loop& loop, const diameter::LocalNode& local, const Config& config, std::uint64_t seed,
@@ -23,7 +31,8 @@
       board_(board),
       core_connection_(std::move(core_connection)),
       event_(std::move(event)),
-      duplicates_(config.callers.max_duplicates, config.callers.duplicates_s) {
+      duplicates_(config.callers.max_duplicates, config.callers.duplicates_s),
+      endings_(config.max_calls, config.callers.end_wait_s) {
   listener_ = std::make_unique<net::Listener>(loop_, config_.node.listen,
                                               [this](int fd, net::Address from) { accepted(fd, from); });
 }
@@ -34,6 +43,7 @@
     gate->stream->close();
   }
   for (auto& [host, caller] : callers_) loop_.timers().cancel(caller->hold);
+  loop_.timers().cancel(ends_timer_);
 }
 
 std::size_t DiameterFront::open_peers() const {
@@ -227,6 +237,12 @@
         error_answer(local_, view, diameter::kUnableToComply, {}, "this session is a call already"));
     return;
   }
+  if (const auto fault = board_.refusal_of_setup(*record)) {
+    std::string bytes = error_answer(local_, view, fault->result_code, fault->failed_avp, fault->text);
+    duplicates_.answered(record->origin_host, record->end_to_end, bytes);
+    caller.link->send(std::move(bytes));
+    return;
+  }
   // Entered before the offer: the answer may come at once.
   const CallId id = board_.next_call();
   open_[id] = {record, &caller, false, false};
@@ -237,6 +253,8 @@
 
 void DiameterFront::on_end(Caller& caller, const MessageView& view) {
   const std::string session = session_of(view);
+  EndRequest again{caller.host, frame_of(view), write_success(view, local_)};
+  if (endings_.repeated(session, again)) return;
   const auto found = sessions_.find(session);
   if (found != sessions_.end()) {
     const CallId id = found->second;
@@ -253,19 +271,70 @@
       duplicates_.answered(open.record->origin_host, open.record->end_to_end, bytes);
       open.caller->link->send(std::move(bytes));
     }
-    board_.hang_up(id);
-    caller.link->send(write_success(view, local_));
+    if (board_.hang_up(id)) return await_end(caller, std::move(again), session, 1, true);
+    caller.link->send(std::move(again.success));
     return;
   }
   // Set up through another proxy, or through this one before it restarted: the caller says where it stands.
   const CallRecord record = read_setup(view, caller.host);
-  if (!record.destination_host.empty() && board_.pass_termination(record)) {
-    caller.link->send(write_success(view, local_));
+  if (const auto fault = board_.refusal_of_realm(record)) {
+    caller.link->send(error_answer(local_, view, fault->result_code, fault->failed_avp, fault->text));
+    return;
+  }
+  if (endings_.full()) {
+    caller.link->send(error_answer(local_, view, diameter::kTooBusy, {}, "too many ends under way"));
+    return;
+  }
+  if (const std::uint32_t asked = board_.pass_termination(record)) {
+    await_end(caller, std::move(again), session, asked, false);
   } else {
     caller.link->send(error_answer(local_, view, diameter::kUnknownSessionId, {}, "no such call"));
   }
 }
 
+void DiameterFront::await_end(Caller& caller, EndRequest request, const std::string& session,
+                              std::uint32_t servers, bool known) {
+  if (endings_.full()) {  // its release is on its way; that it arrives can't be vouched for
+    caller.link->send(std::move(request.success));
+    return;
+  }
+  endings_.begin(session, std::move(request), servers, known, loop_.now());
+  watch_ends();
+}
+
+void DiameterFront::released(const std::string& session, bool ended) {
+  const auto over = endings_.confirmed(session, ended);
+  if (!over) return;
+  if (over->ended) return send_to(over->request.peer, over->request.success);
+  answer_end(over->request, diameter::kUnknownSessionId, "no such call");
+}
+
+void DiameterFront::answer_end(const EndRequest& request, std::uint32_t result, const char* text) {
+  MessageView view;
+  if (decode(request.request, view)) return;
+  send_to(request.peer, error_answer(local_, view, result, {}, text));
+}
+
+// Its connection may be gone; then it will ask again.
+void DiameterFront::send_to(const std::string& peer, std::string bytes) {
+  const auto at = callers_.find(peer);
+  if (at != callers_.end() && at->second->link->peer().open()) at->second->link->send(std::move(bytes));
+}
+
+// One timer for all ends: the oldest is due first.
+void DiameterFront::watch_ends() {
+  const double due = endings_.deadline();
+  if (ends_timer_ != net::TimerId() || due > 1e15) return;
+  ends_timer_ = loop_.timers().at(due, [this] {
+    ends_timer_ = 0;
+    for (const EndRequest& each : endings_.overdue(loop_.now())) {
+      counts_.unconfirmed += 1;
+      answer_end(each, diameter::kUnableToDeliver, "the core server has not confirmed it: say it again");
+    }
+    watch_ends();
+  });
+}
+
 // ---- What became of a call ----
 
 void DiameterFront::answer(CallId id, const Verdict& verdict) {
@@ -288,6 +357,15 @@
       answer.retry_after_s = verdict.retry_after_s;
       answer.text = verdict.why;
       break;
+    case Verdict::Kind::kRejected: {
+      const CoreAnswer& met = board_.rejection_of(id);
+      answer.result = met.result;
+      answer.origin_host = board_.identity_of(verdict.server);
+      answer.origin_realm = open.record->destination_realm;
+      answer.text = met.text;
+      answer.failed_avp = met.failed_avp;
+      break;
+    }
     case Verdict::Kind::kFailed:
       answer.result = diameter::kUnableToComply;
       answer.text = verdict.why;
--- a/src/edge/diameter_front.hpp
+++ b/src/edge/diameter_front.hpp
@@ -12,6 +12,7 @@
 
 #include "diameter/duplicates.hpp"
 #include "edge/config.hpp"
+#include "edge/endings.hpp"
 #include "edge/front.hpp"
 #include "edge/peer_link.hpp"
 
@@ -23,6 +24,7 @@
   std::uint64_t bad = 0;          // malformed messages
   std::uint64_t duplicates = 0;   // requests that came again
   std::uint64_t aborted = 0;      // ASRs sent
+  std::uint64_t unconfirmed = 0;  // ends that no core server confirmed in time
 };
 
 class DiameterFront : public Front {
@@ -40,7 +42,9 @@
   void answer(CallId call, const Verdict& verdict) override;
   void cut(CallId call) override;
   void forget(CallId call) override;
+  void released(const std::string& session, bool ended) override;
 
+  std::size_t ends_open() const { return endings_.size(); }
   void stop_listening() { listener_.reset(); }
   void stop();  // DPR to all
   bool closed() const;
@@ -81,6 +85,11 @@
   void on_message(Caller& caller, const diameter::MessageView& view, bool reopening);
   void on_setup(Caller& caller, const diameter::MessageView& view, bool reopening);
   void on_end(Caller& caller, const diameter::MessageView& view);
+  void await_end(Caller& caller, EndRequest request, const std::string& session, std::uint32_t servers,
+                 bool known);
+  void watch_ends();
+  void answer_end(const EndRequest& request, std::uint32_t result, const char* text);
+  void send_to(const std::string& peer, std::string bytes);
   void on_down(Caller& caller, const std::string& why);
   void end_calls(Caller& caller, bool only_unanswered);
   void sweep();
@@ -100,6 +109,8 @@
   std::unordered_map<CallId, Open> open_;
   std::unordered_map<std::string, CallId> sessions_;
   diameter::Duplicates duplicates_;
+  Endings endings_;
+  net::TimerId ends_timer_ = 0;
   FrontCounts counts_;
   bool stopping_ = false;
 };
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -46,6 +46,7 @@
       config_file_(std::move(config_file)),
       seed_(draw_seed(config_.seed)),
       local_(make_local(config_)),
+      realms_(config_.node.realm, config_.realms, config_.other_realms),
       desk_(config_.settings, seed_, config_.max_calls, *this),
       core_(loop_, local_, config_, seed_ + 1, *this),
       front_(
@@ -84,11 +85,33 @@
   count("mintrock_core_answers_late_total", "Answers of attempts given up", {}, c.late);
   count("mintrock_core_late_stood_total", "Of those, calls that stood and were released", {}, c.late_stood);
   count("mintrock_malformed_total", "Malformed messages", {{"side", "core"}}, c.bad);
+  metrics_.family(
+      "mintrock_core_answers_total", "Answers to set-ups, by core server and Result-Code", [this] {
+        std::vector<std::pair<std::map<std::string, std::string>, double>> out;
+        for (const CoreSide::View& each : core_.servers()) {
+          for (const auto& [result, n] : each.answers->counts()) {
+            out.push_back(
+                {{{"server", each.identity}, {"result", result == 0 ? "other" : std::to_string(result)}},
+                 static_cast<double>(n)});
+          }
+        }
+        return out;
+      });
+  const char* const kRefused = "mintrock_requests_refused_total";
+  count(kRefused, "Requests that are not served here", {{"why", "realm"}}, realm_refused_);
+  count(kRefused, "Requests that are not served here", {{"why", "class"}}, class_refused_);
+  count("mintrock_class_assumed_total", "Calls without a known class, taken as unknown_class", {},
+        class_assumed_);
+  count("mintrock_unknown_host_total", "Calls whose Destination-Host is not in the list", {}, unknown_host_);
   const FrontCounts& f = front_.counts();
+  count("mintrock_ends_unconfirmed_total", "Ends of calls that no core server confirmed in time", {},
+        f.unconfirmed);
   count("mintrock_malformed_total", "Malformed messages", {{"side", "caller"}}, f.bad);
   count("mintrock_connections_total", "Callers' connections accepted", {}, f.connections);
   count("mintrock_connections_rejected_total", "Callers' connections rejected", {}, f.rejected);
   count("mintrock_duplicates_total", "Requests that came again", {}, f.duplicates);
+  metrics_.gauge("mintrock_ends_open", "Ends of calls that wait for a core server's word", {},
+                 [this] { return static_cast<double>(front_.ends_open()); });
   metrics_.gauge("mintrock_calls_open", "Calls without an answer yet", {},
                  [this] { return static_cast<double>(desk_.open()); });
   metrics_.gauge("mintrock_calls_standing", "Calls that stand", {},
@@ -159,32 +182,54 @@
 void Edge::offer(Front& front, CallId id, RecordPtr record, bool peer_on_trial) {
   Offer offer;
   offer.peer_on_trial = peer_on_trial;
-  const auto service = record->service_identifier.value_or(0);
-  const auto known = config_.class_of_service.find(service);
-  if (known != config_.class_of_service.end()) offer.call_class = known->second;
+  const ClassOf kind = class_of(config_.classes, *record);
+  class_assumed_ += kind.assumed;
+  offer.call_class = kind.place;
   const double deadline = config_.settings.classes[offer.call_class].deadline_s;
   offer.ttl_s = record->max_wait_ms ? std::min(deadline, *record->max_wait_ms / 1000.0) : deadline;
   offer.key = key_of(record->called);
   offer.lines = record->lines;
   if (const list::Entry* entry = book_.find(book_.number(record->destination_host)))
     offer.first_choice = entry->node;
+  else if (!record->destination_host.empty())
+    unknown_host_ += 1;  // a first choice is a wish: the call goes wherever there is room
   offer.redialled = record->redial == 1;
   offer.was_cut = record->redial == 2;
-  calls_[id] = {&front, std::move(record), loop_.now()};
+  calls_[id] = {&front, std::move(record), loop_.now(), nullptr};
   desk_.offer(id, offer, loop_.now());
   watch_desk();
 }
 
+std::optional<diameter::Fault> Edge::refusal_of_realm(const CallRecord& record) {
+  auto fault = check_realm(realms_, record.destination_realm);
+  realm_refused_ += fault.has_value();
+  return fault;
+}
+
+std::optional<diameter::Fault> Edge::refusal_of_setup(const CallRecord& record) {
+  if (auto fault = refusal_of_realm(record)) return fault;
+  auto fault = class_of(config_.classes, record).fault;
+  class_refused_ += fault.has_value();
+  return fault;
+}
+
 bool Edge::hang_up(CallId call) {
-  const bool known = desk_.hang_up(call, loop_.now());
+  release_sent_ = false;
+  desk_.hang_up(call, loop_.now());
   watch_desk();
-  return known;
+  return std::exchange(release_sent_, false);
 }
 
-bool Edge::pass_termination(const CallRecord& record) {
+std::uint32_t Edge::pass_termination(const CallRecord& record) {
   return core_.pass_termination(record.destination_host, record);
 }
 
+const CoreAnswer& Edge::rejection_of(CallId call) {
+  static const CoreAnswer kNone;
+  const auto found = calls_.find(call);
+  return found != calls_.end() && found->second.rejection ? *found->second.rejection : kNone;
+}
+
 const std::string& Edge::identity_of(ServerId server) {
   static const std::string kUnknown = "unknown";
   const list::Entry* entry = book_.find(server);
@@ -224,7 +269,8 @@
 
 void Edge::release(CallId call, std::uint32_t attempt, ServerId server) {
   const auto found = calls_.find(call);
-  if (found != calls_.end()) core_.release(call, attempt, server, found->second.record);
+  if (found == calls_.end()) return;
+  if (core_.release(call, attempt, server, found->second.record)) release_sent_ = true;
 }
 
 void Edge::subscribe() { list_->open(); }
@@ -245,6 +291,10 @@
 }
 
 void Edge::core_ended(CallId call, std::uint32_t attempt, const CoreAnswer& answer) {
+  if (answer.cause == Cause::kUnfit || answer.cause == Cause::kRejected) {
+    const auto found = calls_.find(call);
+    if (found != calls_.end()) found->second.rejection = std::make_unique<const CoreAnswer>(answer);
+  }
   desk_.ended(call, attempt, answer.outcome, answer.cause, answer.told_wait_s, answer.report, loop_.now());
   watch_desk();
 }
@@ -254,6 +304,17 @@
   watch_desk();
 }
 
+void Edge::core_released(const std::string& session, bool ended) { front_.released(session, ended); }
+
+void Edge::core_errors(const std::string& server, const AnswerWatch::Warning& warning) {
+  log_event(warn, "core_errors",
+            {{"peer", server},
+             {"result", std::to_string(warning.result)},
+             {"detail", std::string(name_of_result(warning.result))},
+             {"failed_avp", warning.failed_avp},
+             {"errors", std::to_string(warning.errors)}});
+}
+
 void Edge::core_event(const std::string& server, const char* event, const std::string& detail) {
   const std::string_view name(event);
   const bool bad = name != "up" && name != "usable";
@@ -400,6 +461,7 @@
 
 Admin::Response Edge::health() const {
   std::size_t open = 0;
+  std::size_t errors_only = 0;
   nlohmann::ordered_json servers = nlohmann::ordered_json::array();
   for (const CoreSide::View& each : core_.servers()) {
     open += each.state == "I-Open" || each.state == "R-Open";
@@ -409,11 +471,18 @@
                        {"out", each.out},
                        {"standing", each.standing}});
     if (each.load >= 0) servers.back()["load"] = each.load;
+    if (each.answers->last_error() != 0) {
+      servers.back()["answers"] = {{"only_errors", each.answers->errors_only()},
+                                   {"last_error", each.answers->last_error()},
+                                   {"failed_avp", each.answers->last_failed_avp()}};
+    }
+    errors_only += each.answers->errors_only();
   }
-  const char* state = draining_      ? "draining"
-                      : open == 0    ? "no core server"
-                      : !list_fresh_ ? "list lost"
-                                     : "ok";
+  const char* state = draining_         ? "draining"
+                      : open == 0       ? "no core server"
+                      : !list_fresh_    ? "list lost"
+                      : errors_only > 0 ? "a core server answers only errors"
+                                        : "ok";
   const nlohmann::ordered_json json{
       {"state", state}, {"list_revision", book_.revision()}, {"servers", servers}};
   return {draining_ || open == 0 ? 503 : 200, "application/json", json.dump(2) + "\n"};
--- a/src/edge/edge.hpp
+++ b/src/edge/edge.hpp
@@ -47,6 +47,7 @@
     Front* front = nullptr;
     RecordPtr record;
     double offered = 0;  // when
+    std::unique_ptr<const CoreAnswer> rejection;
   };
 
   // DeskPorts
@@ -62,12 +63,17 @@
   void core_stood(CallId call, std::uint32_t attempt, const CoreAnswer& answer) override;
   void core_ended(CallId call, std::uint32_t attempt, const CoreAnswer& answer) override;
   void core_load(ServerId server, const CoreAnswer& answer) override;
+  void core_released(const std::string& session, bool ended) override;
+  void core_errors(const std::string& server, const AnswerWatch::Warning& warning) override;
   void core_event(const std::string& server, const char* event, const std::string& detail) override;
   // Switchboard
   CallId next_call() override { return desk_.next_call(); }
   void offer(Front& front, CallId call, RecordPtr record, bool peer_on_trial) override;
+  std::optional<diameter::Fault> refusal_of_realm(const CallRecord& record) override;
+  std::optional<diameter::Fault> refusal_of_setup(const CallRecord& record) override;
+  const CoreAnswer& rejection_of(CallId call) override;
   bool hang_up(CallId call) override;
-  bool pass_termination(const CallRecord& record) override;
+  std::uint32_t pass_termination(const CallRecord& record) override;
   const std::string& identity_of(ServerId server) override;
 
   void on_list(const list::SseEvent& event);
@@ -86,6 +92,7 @@
   diameter::LocalNode local_;
   Metrics metrics_;
   list::Book book_;
+  Realms realms_;
   CallDesk desk_;
   CoreSide core_;
   DiameterFront front_;
@@ -98,6 +105,11 @@
   net::TimerId desk_timer_ = 0;
   double desk_timer_at_ = 0;
   net::TimerId drain_timer_ = 0;
+  bool release_sent_ = false;  // by the call that is being hung up
+  std::uint64_t realm_refused_ = 0;
+  std::uint64_t class_refused_ = 0;
+  std::uint64_t class_assumed_ = 0;
+  std::uint64_t unknown_host_ = 0;
   bool draining_ = false;
   bool stopping_ = false;
   double drain_until_ = 0;
--- a/src/edge/metrics.cpp
+++ b/src/edge/metrics.cpp
@@ -33,6 +33,18 @@
   });
 }
 
+void Metrics::family(
+    const std::string& name, const std::string& help,
+    std::function<std::vector<std::pair<std::map<std::string, std::string>, double>>()> values) {
+  auto& family = prometheus::BuildCounter().Name(name).Help(help).Register(registry_);
+  refresh_.push_back([&family, values = std::move(values)] {
+    for (const auto& [labels, value] : values()) {
+      auto& counter = family.Add(labels);  // the same one each time
+      if (value > counter.Value()) counter.Increment(value - counter.Value());
+    }
+  });
+}
+
 std::string Metrics::text() {
   for (const auto& each : refresh_) each();
   std::ostringstream out;
--- a/src/edge/metrics.hpp
+++ b/src/edge/metrics.hpp
@@ -6,8 +6,10 @@
 #include <prometheus/registry.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mintrock::edge {
@@ -20,6 +22,9 @@
              const std::map<std::string, std::string>& labels, std::function<double()> value);
   void counter(const std::string& name, const std::string& help,
                const std::map<std::string, std::string>& labels, std::function<double()> value);
+  // Counters whose labels are only known as they come up.
+  void family(const std::string& name, const std::string& help,
+              std::function<std::vector<std::pair<std::map<std::string, std::string>, double>>()> values);
   void setup_delay(double seconds) { delay_->Observe(seconds); }
   std::string text();
 
--- /dev/null
+++ b/src/edge/request_routing.cpp
@@ -0,0 +1,66 @@
+#include "edge/request_routing.hpp"
+
+#include <algorithm>
+
+#include "diameter/dictionary.hpp"
+
+namespace mintrock::edge {
+namespace {
+
+// Service-Identifier as Failed-AVP wants it: as it came, or with a minimal value (RFC 6733 section 7.5).
+std::string service_identifier(std::uint32_t value) {
+  diameter::Builder builder(diameter::Header{});
+  builder.u32(diameter::avp::kServiceIdentifier, value);
+  return builder.finish().substr(diameter::kHeaderSize);
+}
+
+}  // namespace
+
+std::string Realms::folded(std::string_view realm) {
+  std::string out(realm);
+  std::transform(out.begin(), out.end(), out.begin(),
+                 [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
+  return out;
+}
+
+Realms::Realms(const std::string& own, const std::map<std::string, Action>& table, Action others)
+    : others_(others) {
+  table_[folded(own)] = Action::kLocal;
+  for (const auto& [realm, action] : table) table_[folded(realm)] = action;
+}
+
+Realms::Action Realms::action_of(std::string_view realm) const {
+  const auto found = table_.find(folded(realm));
+  return found != table_.end() ? found->second : others_;
+}
+
+std::optional<diameter::Fault> check_realm(const Realms& realms, std::string_view realm) {
+  if (realms.action_of(realm) == Realms::Action::kLocal) return std::nullopt;
+  return diameter::Fault{diameter::kRealmNotServed, "",
+                         "realm " + std::string(realm) + " is not served here"};
+}
+
+ClassOf class_of(const ClassTable& classes, const CallRecord& call) {
+  ClassOf out;
+  if (call.service_identifier) {
+    const auto found = classes.by_service.find(*call.service_identifier);
+    if (found != classes.by_service.end()) {
+      out.place = found->second;
+      return out;
+    }
+  }
+  out.assumed = true;
+  if (classes.unknown) {
+    out.place = *classes.unknown;
+  } else if (call.service_identifier) {
+    out.fault = diameter::Fault{
+        diameter::kInvalidAvpValue, service_identifier(*call.service_identifier),
+        "Service-Identifier " + std::to_string(*call.service_identifier) + " names no class of calls here"};
+  } else {
+    out.fault = diameter::Fault{diameter::kMissingAvp, service_identifier(0),
+                                "Service-Identifier: missing, and calls without a class are refused"};
+  }
+  return out;
+}
+
+}  // namespace mintrock::edge
--- a/src/lab/call.cpp
+++ b/src/lab/call.cpp
@@ -1,6 +1,7 @@
 // Callers as stand-ins: Diameter clients that set calls up, dial again, hang up early, and end what stands.
 #include <algorithm>
 #include <csignal>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -24,6 +25,9 @@
 constexpr double kReconnect = 0.2;     // s
 constexpr double kAnswerSlack = 0.02;  // s after its patience, an answer is none any more
 constexpr double kLastAnswers = 3.0;   // s at the end for what is still under way
+constexpr double kLastEnds = 12.0;     // s more for ends that nobody has confirmed yet
+constexpr double kRepeatEnd = 1.0;     // s until an end without an answer is sent again
+constexpr int kMostEnds = 40;          // times that one is sent
 
 // One caller's whole wish: its first try and those after it.
 struct Wish {
@@ -86,6 +90,8 @@
     line_->send(out.finish());
   }
 
+  bool ends_open() const { return !ends_.empty(); }
+
   void lose_connection() {
     if (line_) line_->reset();
     lost();
@@ -115,6 +121,12 @@
     net::TimerId timer = 0;
     net::TimerId impatient = 0;
   };
+  struct End {  // of a call, not confirmed yet
+    std::string server;
+    std::uint32_t end_to_end = 0;
+    int sent = 0;
+    net::TimerId timer = 0;
+  };
 
   void note(const json& text) { write_note(crowd_.trace, crowd_.loop.now(), name_, "", text.dump()); }
 
@@ -140,7 +152,10 @@
     for (const auto& [session, call] : calls_) {
       if (!call.stands) open.push_back(session);
     }
-    for (const std::string& session : open) over(session, true, 0);
+    for (const std::string& session : open) {
+      over(session, true, 0);
+      end(session, "");  // it may stand all the same, nobody can tell where
+    }
     moved_ += 1;
     crowd_.loop.after(kReconnect, [this] {
       reconnecting_ = false;
@@ -155,13 +170,14 @@
       ready_ = result != nullptr && diameter::as_u32(*result) == diameter::kSuccess;
       return;
     }
-    if (view.header.command != diameter::kCreditControl || edge::request_type(view) != diameter::kInitial)
-      return;
+    if (view.header.command != diameter::kCreditControl) return;
     const std::string session = edge::session_of(view);
+    if (edge::request_type(view) == diameter::kTermination) return end_answered(session, view);
+    if (edge::request_type(view) != diameter::kInitial) return;
     const auto found = calls_.find(session);
     if (found == calls_.end() || found->second.hop != view.header.hop_by_hop || found->second.stands) return;
     const edge::CoreAnswer answer = edge::read_core_answer(view);  // callers' answers read alike
-    if (!answer.stands) return over(session, true, answer.told_wait_s);
+    if (!answer.stands) return over(session, answer.result != 0 && answer.result < 5000, answer.told_wait_s);
     Call& call = found->second;
     crowd_.loop.timers().cancel(std::exchange(call.impatient, 0));
     crowd_.loop.timers().cancel(call.timer);
@@ -200,24 +216,50 @@
     }
   }
 
-  std::string termination(const std::string& session, const Call& call) {
-    hop_ += 1;
-    end_to_end_ += 1;
-    Builder out = begin_call_request(name_, session, diameter::kTermination, hop_, end_to_end_);
-    if (!call.server.empty()) out.text(avp::kDestinationHost, call.server);
-    return out.finish();
+  // An end is sent until it is confirmed: under one End-to-End id, later times with the T flag, through
+  // whatever proxy the caller is connected to then (RFC 6733 section 5.5.4).
+  void end(const std::string& session, const std::string& server) {
+    End& each = ends_[session];
+    each.server = server;
+    each.end_to_end = ++end_to_end_;
+    send_end(session);
+  }
+
+  void send_end(const std::string& session) {
+    End& each = ends_.at(session);
+    crowd_.loop.timers().cancel(std::exchange(each.timer, 0));
+    if (each.sent >= kMostEnds) {
+      note({{"event", "end_given_up"}, {"session", session}});
+      ends_.erase(session);
+      return;
+    }
+    if (ready_) {
+      Builder out =
+          begin_call_request(name_, session, diameter::kTermination, ++hop_, each.end_to_end,
+                             static_cast<std::uint8_t>(each.sent > 0 ? diameter::kRetransmitted : 0));
+      if (!each.server.empty()) out.text(avp::kDestinationHost, each.server);
+      each.sent += 1;
+      line_->send(out.finish());
+    }
+    each.timer = crowd_.loop.after(ready_ ? kRepeatEnd : kReconnect, [this, session] { send_end(session); });
+  }
+
+  void end_answered(const std::string& session, const MessageView& view) {
+    const auto found = ends_.find(session);
+    if (found == ends_.end() || view.header.end_to_end != found->second.end_to_end) return;
+    const auto* code = view.find(avp::kResultCode.code);
+    const std::uint32_t result = code != nullptr ? diameter::as_u32(*code).value_or(0) : 0;
+    if (result / 1000 != 2 && result / 1000 != 5) return;  // not now: it is sent again
+    crowd_.loop.timers().cancel(found->second.timer);
+    ends_.erase(found);
   }
 
   void hang_up(const std::string& session) {
     const auto found = calls_.find(session);
     if (found == calls_.end()) return;
-    if (!ready_) {  // as soon as a proxy takes it
-      crowd_.loop.timers().cancel(found->second.timer);
-      found->second.timer = crowd_.loop.after(kReconnect, [this, session] { hang_up(session); });
-      return;
-    }
-    line_->send(termination(session, found->second));
+    const std::string server = found->second.server;
     over(session, false, 0);
+    end(session, server);
   }
 
   // Waits no more: says so, and takes whatever comes for nothing.
@@ -225,8 +267,8 @@
     const auto found = calls_.find(session);
     if (found == calls_.end() || found->second.stands || !ready_) return;
     found->second.impatient = 0;
-    line_->send(termination(session, found->second));
     over(session, false, 0);
+    end(session, "");
   }
 
   void over(const std::string& session, bool again, double retry_after_s) {
@@ -258,6 +300,7 @@
   std::uint32_t hop_ = 0;
   std::uint32_t end_to_end_ = 0;
   std::unordered_map<std::string, Call> calls_;
+  std::unordered_map<std::string, End> ends_;
 };
 
 // Load at a time: the rate times the surges that go on.
@@ -270,6 +313,15 @@
   return factor;
 }
 
+// The share of calls that goes to the one crowded number.
+double hot_share(const Scenario& scenario, double at) {
+  for (const Event& event : scenario.events) {
+    if (event.kind == Event::Kind::kHotNumber && at >= event.at_s && at < event.at_s + event.for_s)
+      return event.share;
+  }
+  return 0;
+}
+
 void arrive(Crowd& crowd) {
   const double at = crowd.loop.now() - crowd.run.epoch;
   if (at >= crowd.scenario.duration_s) return;
@@ -284,6 +336,10 @@
     wish.number = ++crowd.wishes;
     wish.call_class = std::discrete_distribution<std::size_t>(shares.begin(), shares.end())(crowd.random);
     wish.called = "234" + std::to_string(crowd.random() % 1000000);
+    if (const double hot = hot_share(crowd.scenario, at);
+        hot > 0 && std::bernoulli_distribution(hot)(crowd.random)) {
+      wish.called = kHotNumber;
+    }
     wish.first_choice = static_cast<std::uint32_t>(crowd.random() % crowd.scenario.cores);
     ready[crowd.random() % ready.size()]->dial(std::move(wish));
   } else {
@@ -318,10 +374,17 @@
     crowd.ending = true;
     for (auto& each : crowd.callers) each->end_all();
   });
-  loop.timers().at(end + kLastAnswers, [&] {
+  std::function<void()> leave = [&] {
+    const bool open = std::any_of(crowd.callers.begin(), crowd.callers.end(),
+                                  [](const auto& each) { return each->ends_open(); });
+    if (open && loop.now() < end + kLastAnswers + kLastEnds) {
+      loop.after(0.05, leave);
+      return;
+    }
     for (auto& each : crowd.callers) each->leave();
     loop.after(0.2, [&] { loop.stop(); });
-  });
+  };
+  loop.timers().at(end + kLastAnswers, leave);
   loop.on_signal(SIGTERM, [&] { loop.stop(); });
   loop.run();
   trace.flush();
--- a/src/lab/checker.cpp
+++ b/src/lab/checker.cpp
@@ -252,6 +252,7 @@
                              ColdBudget(warmth, text.value("capacity", 1.0), scenario_.rules.overload_factor,
                                         scenario_.rules.fall_s));
     }
+    if (event == "end_given_up") report_.ends_given_up += 1;
     if (event == "fell_over") broke(kCold, record.who() + " fell over");
     if (event == "die" || event == "stop") {
       for (auto& [session, attempts] : attempts_) {
@@ -397,17 +398,26 @@
       report_.delay_p50 = delays[delays.size() / 2];
       report_.delay_p99 = delays[delays.size() * 99 / 100];
     }
+    std::vector<double> orphans;
     for (const auto& [session, attempts] : attempts_) {
       for (const Attempt& each : attempts) {
-        if (each.result / 1000 != 2 || each.released < kNever || each.gone < kNever) continue;
+        if (each.result / 1000 != 2) continue;
         const auto known = tries_.find(session);
         const bool told = known != tries_.end() && known->second.answers > 0;
+        if (each.released < kNever && !told) orphans.push_back(each.released - each.answered);
+        if (each.released < kNever || each.gone < kNever) continue;
         (told ? report_.left_behind : report_.orphaned) += 1;
         if (told && report_.left_examples.size() < kExamples) {
           report_.left_examples.push_back(session + " at " + each.core + " through " + each.proxy);
         }
       }
     }
+    std::sort(orphans.begin(), orphans.end());
+    report_.orphans_released = orphans.size();
+    if (!orphans.empty()) {
+      report_.orphan_p50 = orphans[orphans.size() / 2];
+      report_.orphan_longest = orphans.back();
+    }
   }
 
   const Scenario& scenario_;
@@ -438,6 +448,10 @@
   out["left_behind"] = left_behind;
   out["left_behind_examples"] = left_examples;
   out["orphaned_by_killed_proxies"] = orphaned;
+  out["orphans_released"] = orphans_released;
+  out["orphans_held_p50_s"] = orphan_p50;
+  out["orphans_held_longest_s"] = orphan_longest;
+  out["ends_given_up"] = ends_given_up;
   out["delay_p50_s"] = delay_p50;
   out["delay_p99_s"] = delay_p99;
   for (const RuleVerdict& each : rules) {
@@ -466,7 +480,7 @@
 
 std::string CheckReport::table() const {
   std::string out;
-  char line[256];
+  char line[400];
   const auto add = [&] { out += line; };
   std::snprintf(line, sizeof line, "%-22s %8s %8s %9s  %s\n", "rule", "checked", "broken", "of limit",
                 "worst");
@@ -492,10 +506,12 @@
   std::snprintf(
       line, sizeof line,
       "\n%llu tries, %llu set-ups at core servers; unaccounted %llu, left behind %llu, orphaned by killed "
-      "proxies %llu; delay p50 %.1f ms, p99 %.1f ms\nservice per 5 s:",
+      "proxies %llu (%llu more were released after %.2f s, %.2f s at most); delay p50 %.1f ms, p99 %.1f ms\n"
+      "service per 5 s:",
       static_cast<unsigned long long>(tries), static_cast<unsigned long long>(attempts),
       static_cast<unsigned long long>(unaccounted), static_cast<unsigned long long>(left_behind),
-      static_cast<unsigned long long>(orphaned), delay_p50 * 1000, delay_p99 * 1000);
+      static_cast<unsigned long long>(orphaned), static_cast<unsigned long long>(orphans_released),
+      orphan_p50, orphan_longest, delay_p50 * 1000, delay_p99 * 1000);
   add();
   for (const double each : service) {
     std::snprintf(line, sizeof line, " %.2f", each);
--- a/src/lab/checker.hpp
+++ b/src/lab/checker.hpp
@@ -46,6 +46,9 @@
   std::uint64_t left_behind = 0;  // sessions that a core server holds at the end, of callers who were told
   std::vector<std::string> left_examples;
   std::uint64_t orphaned = 0;                     // and of callers whose proxy was gone before it could tell
+  std::uint64_t orphans_released = 0;             // of those callers, but released in the end,
+  double orphan_p50 = 0, orphan_longest = 0;      // s that a core server kept them
+  std::uint64_t ends_given_up = 0;                // ends that a caller gave up repeating
   double delay_p50 = 0, delay_p99 = 0;            // s, of those that stood
   std::map<std::string, std::uint64_t> troubles;  // what went wrong, by kind
   bool good() const;
--- a/src/lab/core.cpp
+++ b/src/lab/core.cpp
@@ -1,4 +1,5 @@
 // Core servers as stand-ins: one processor each, driven by the scenario's script of faults.
+#include <algorithm>
 #include <csignal>
 #include <functional>
 #include <map>
@@ -35,6 +36,9 @@
         random_(scenario.seed * 1000 + number) {
     local_.host = name_;
     local_.realm = kRealm;
+    for (const Event& event : scenario.events) {
+      if (event.kind == Event::Kind::kHotNumber) hot_lines_ = event.lines;
+    }
     begin(false);
   }
 
@@ -69,6 +73,9 @@
       case Event::Kind::kDoubleAnswers:
         double_ = true;
         return later([this] { double_ = false; });
+      case Event::Kind::kReject:
+        reject_ = event.result;
+        return later([this] { reject_ = 0; });
       case Event::Kind::kWatchdogSilent:
         silent_ = true;
         return later([this] { silent_ = false; });
@@ -214,6 +221,17 @@
     Session& session = sessions_[record->session_id];
     session = {id, 0, false, record};
     if (swallow_) return;
+    if (reject_ != 0) {
+      sessions_.erase(record->session_id);
+      return answer(id, *record, reject_, 0);
+    }
+    if (record->called == kHotNumber && hot_standing() >= hot_lines_) {
+      // The number's lines are all taken: found out by the processor, as a set-up is.
+      processor_->push(now, 0, scenario_.setup_work_s / 2, false);
+      watch();
+      sessions_.erase(record->session_id);
+      return answer(id, *record, diameter::kEndUserServiceDenied, 0);
+    }
     const double wait = processor_->wait(now);
     if (wait > scenario_.full_after_s) {
       processor_->push(now, 0, scenario_.release_work_s / 2, true);
@@ -228,6 +246,12 @@
     watch();
   }
 
+  std::size_t hot_standing() const {
+    return static_cast<std::size_t>(std::count_if(sessions_.begin(), sessions_.end(), [](const auto& each) {
+      return each.second.stands && each.second.record->called == kHotNumber;
+    }));
+  }
+
   void release(std::uint64_t id, const MessageView& view) {
     const auto found = sessions_.find(edge::session_of(view));
     Line& line = *lines_.at(id);
@@ -265,7 +289,10 @@
         .u32(avp::kAuthApplicationId, diameter::kApplicationCreditControl)
         .u32(avp::kCcRequestType, diameter::kInitial)
         .u32(avp::kCcRequestNumber, record.request_number);
-    if (busy) out.u32(avp::kRetryAfter, static_cast<std::uint32_t>(wait_s * 1000));
+    if (result >= 5000) {
+      out.begin_group(avp::kFailedAvp).text(avp::kCalledStationId, record.called).end_group();
+    }
+    if (busy && wait_s > 0) out.u32(avp::kRetryAfter, static_cast<std::uint32_t>(wait_s * 1000));
     edge::write_report(out, report_);
     out.begin_group(avp::kLoad)
         .u32(avp::kLoadType, 0)
@@ -335,6 +362,8 @@
   bool swallow_ = false;
   bool silent_ = false;
   bool double_ = false;
+  std::uint32_t reject_ = 0;  // the code it answers with; 0: it serves
+  std::size_t hot_lines_ = 1;
   double lose_ = 0;
   double late_ = 0;
 };
@@ -342,6 +371,7 @@
 bool about_core(const Event& event) {
   switch (event.kind) {
     case Event::Kind::kSurge:
+    case Event::Kind::kHotNumber:
     case Event::Kind::kKillProxy:
     case Event::Kind::kTermProxy:
     case Event::Kind::kCallerLost:
--- a/src/lab/import_day.cpp
+++ b/src/lab/import_day.cpp
@@ -198,6 +198,8 @@
     } else if (kind == "give_up") {
       abandon_ += std::min(0.5, size);
       notes_.push_back("give_up: the share of callers who leave holds for the whole run here");
+    } else if (kind == "hot_key") {
+      event(at, "hot_number", ", share: " + figure(std::min(1.0, size)) + ", lines: 1" + lasting);
     } else {
       notes_.push_back(kind + ": left out, the lab has no such trouble");
     }
--- a/src/lab/line.cpp
+++ b/src/lab/line.cpp
@@ -92,10 +92,11 @@
 }
 
 diameter::Builder begin_call_request(const std::string& host, const std::string& session, std::uint32_t type,
-                                     std::uint32_t hop_by_hop, std::uint32_t end_to_end) {
+                                     std::uint32_t hop_by_hop, std::uint32_t end_to_end,
+                                     std::uint8_t more_flags) {
   namespace avp = diameter::avp;
   diameter::Header header;
-  header.flags = diameter::kRequest | diameter::kProxiable;
+  header.flags = static_cast<std::uint8_t>(diameter::kRequest | diameter::kProxiable | more_flags);
   header.command = diameter::kCreditControl;
   header.application = diameter::kApplicationCreditControl;
   header.hop_by_hop = hop_by_hop;
--- a/src/lab/line.hpp
+++ b/src/lab/line.hpp
@@ -55,7 +55,8 @@
 // A Credit-Control request as callers send it, but for what set-ups and ends have besides, which is added to
 // it; `type` is CC-Request-Type.
 diameter::Builder begin_call_request(const std::string& host, const std::string& session, std::uint32_t type,
-                                     std::uint32_t hop_by_hop, std::uint32_t end_to_end);
+                                     std::uint32_t hop_by_hop, std::uint32_t end_to_end,
+                                     std::uint8_t more_flags = 0);
 
 // A stand-in's CER; and the success that answers a CER, DWR or DPR.
 std::string make_cer(const std::string& host, std::uint32_t hop_by_hop, std::uint32_t origin_state);
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -1,6 +1,7 @@
 #include "lab/scenario.hpp"
 
 #include <algorithm>
+#include <random>
 
 #include "config/yaml.hpp"
 #include "edge/config.hpp"
@@ -29,6 +30,8 @@
     {Event::Kind::kStrayAnswer, "stray_answer", 'c'},
     {Event::Kind::kDoubleAnswers, "double_answers", 'c'},
     {Event::Kind::kWatchdogSilent, "watchdog_silent", '*'},
+    {Event::Kind::kReject, "reject", 'c'},
+    {Event::Kind::kHotNumber, "hot_number", '-'},
     {Event::Kind::kDrain, "drain", 'c'},
     {Event::Kind::kKillProxy, "kill_proxy", 'p'},
     {Event::Kind::kTermProxy, "term_proxy", 'p'},
@@ -50,6 +53,8 @@
   from.read("factor", event.factor, 0.01, 1000);
   from.read("share", event.share, 0, 1);
   from.read_time("by", event.by_s, 0, kDay);
+  from.read("result", event.result, 3000, 5999);
+  from.read("lines", event.lines, 0, 1000000);
   const char target = kKinds[kind].target;
   event.to_caller = target == 'l' || (target == '*' && from.has("caller"));
   if (target == 'c' || (target == '*' && !event.to_caller)) {
@@ -85,6 +90,30 @@
   out.classes.push_back(each);
 }
 
+// Random kills from the seed. Proxies that are down are passed over, so that one is never killed twice at
+// once, and one proxy at least is always up.
+void draw_kills(Scenario& out) {
+  std::mt19937_64 random(out.seed + 77);
+  std::vector<double> back(out.proxies, 0);
+  std::exponential_distribution<double> gap(1 / out.kill_every_s);
+  std::uniform_real_distribution<double> down(out.kill_down_least_s, out.kill_down_most_s);
+  constexpr double kSettle = 0.25;  // s that a proxy started again is left alone
+  for (double at = 1 + gap(random); at < out.duration_s - 1; at += gap(random)) {
+    std::vector<std::uint32_t> up;
+    for (std::uint32_t i = 0; i < out.proxies; ++i) {
+      if (back[i] < at) up.push_back(i);
+    }
+    if (up.size() < 2) continue;
+    Event event;
+    event.kind = Event::Kind::kKillProxy;
+    event.at_s = at;
+    event.for_s = down(random);
+    event.target = up[random() % up.size()];
+    back[event.target] = at + event.for_s + kSettle;
+    out.events.push_back(event);
+  }
+}
+
 }  // namespace
 
 const char* name(Event::Kind kind) {
@@ -129,6 +158,21 @@
   top.sections("classes", [&](config::Section& from) { read_class(from, out); });
   if (out.classes.empty()) top.fail("classes", "is empty");
   top.sections("events", [&](config::Section& from) { read_event(from, out); });
+  top.section("kills", [&](config::Section& from) {
+    from.read_time("every", out.kill_every_s, 0.01, kDay);
+    std::vector<std::string> range;
+    from.read_list("down", range);
+    if (range.empty()) return;
+    if (range.size() != 2) from.fail("down", "is no range of two times");
+    try {
+      out.kill_down_least_s = config::parse_time(range[0]);
+      out.kill_down_most_s = config::parse_time(range[1]);
+    } catch (const std::exception& error) {
+      from.fail("down", error.what());
+    }
+    if (out.kill_down_least_s > out.kill_down_most_s) from.fail("down", "begins after its end");
+  });
+  if (out.kill_every_s > 0) draw_kills(out);
   top.finish();
   std::stable_sort(out.events.begin(), out.events.end(),
                    [](const Event& a, const Event& b) { return a.at_s < b.at_s; });
--- a/src/lab/scenario.hpp
+++ b/src/lab/scenario.hpp
@@ -26,11 +26,13 @@
     kStrayAnswer,     // it answers requests that nobody sent, once on each connection
     kDoubleAnswers,   // it sends each answer twice
     kWatchdogSilent,  // watchdog requests to it (a core server, or a caller) go unanswered
-    kDrain,           // listed as draining; after `for` it stops and is replaced, cold
-    kKillProxy,       // kill -9; started again after `for`
-    kTermProxy,       // SIGTERM; started again after `for`
-    kCallerLost,      // a caller's connection is reset
-    kListDown         // the pool list answers nobody
+    kReject,          // it answers every set-up at once with `result`, and a Failed-AVP
+    kHotNumber,   // a `share` of the calls goes to one number, which has `lines` lines at each core server
+    kDrain,       // listed as draining; after `for` it stops and is replaced, cold
+    kKillProxy,   // kill -9; started again after `for`
+    kTermProxy,   // SIGTERM; started again after `for`
+    kCallerLost,  // a caller's connection is reset
+    kListDown     // the pool list answers nobody
   };
   Kind kind = Kind::kSurge;
   double at_s = 0;
@@ -38,8 +40,10 @@
   double factor = 1;
   double share = 1;
   double by_s = 0;
-  std::uint32_t target = 0;  // number of the core server, proxy or caller, from 0
-  bool to_caller = false;    // kWatchdogSilent
+  std::uint32_t result = 5001;  // kReject
+  std::uint32_t lines = 1;      // kHotNumber
+  std::uint32_t target = 0;     // number of the core server, proxy or caller, from 0
+  bool to_caller = false;       // kWatchdogSilent
   int line = 0;
 };
 
@@ -74,6 +78,11 @@
   Settings rules;  // figures of the rules, as the proxies are told
   double drain_grace_s = 0.25;
   std::vector<Event> events;
+  // Proxies killed at random, one after the other: one every `kill_every_s` on average, each down for a time
+  // drawn from the range; 0: none. Drawn from the seed and added to `events` when the scenario is read.
+  double kill_every_s = 0;
+  double kill_down_least_s = 0.3;
+  double kill_down_most_s = 1.5;
 };
 
 // Reads and checks; throws config::Error with one line.
@@ -86,6 +95,7 @@
 std::string proxy_name(std::uint32_t number);
 std::string caller_name(std::uint32_t number);
 inline constexpr const char* kRealm = "lab.test";
+inline constexpr const char* kHotNumber = "2340000000";  // kHotNumber's
 
 }  // namespace mintrock::lab
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -29,6 +29,9 @@
 // x, the spacing of held tries: the recent mean delay of set-ups that stood.
 constexpr double kSpacingGain = 0.1;     // share of a new delay in x: about the last ten
 constexpr double kSpacingLeast = 0.001;  // s; x stays above 0
+// x until anything stood: short, so that a burst that meets a fresh start, when each server is let only two
+// set-ups, can be held. It does harm where set-ups take far longer: the first held tries come too early.
+constexpr double kSpacingFirst = 0.005;  // s
 
 // A full answer marks its server for x, at least this: sooner, the queue can't have moved much.
 constexpr double kMarkLeast = 0.2;  // s
@@ -95,6 +98,10 @@
 constexpr double kAnswerStart = 2;
 constexpr double kAnswerGrowth = 1.3;
 
+// A server that rejects calls for good where another doesn't is at fault itself.
+constexpr double kRejectsOdd = 0.5;     // share of its last answers; about seven in a row
+constexpr double kRejectsUsual = 0.25;  // and of another server's
+
 // A number that answered busy is tried again after this, at doubling gaps.
 constexpr double kBusyFirst = 0.5;    // s
 constexpr double kBusyLongest = 4.0;  // s
@@ -141,6 +148,7 @@
   Time not_before = 0;      // release is awaited until then
   bool called_off = false;  // the attempt that is out was cancelled
   bool in_doubt = false;    // some attempt may have run
+  std::vector<ServerId> unfit;  // servers that answered 'never'
   State state = State::kArriving;
   std::uint32_t generation = 0;  // timers of earlier states carry another one
   std::uint32_t attempts = 0;
@@ -189,6 +197,7 @@
   Time trial_at = -kNever;   // next single trial while suspect
   double trial_gap = kSuspectFirst;
   double faults = 0;      // share of faults in signalling among the last answers
+  double rejects = 0;     // share of calls rejected for good among them
   std::deque<Time> cuts;  // standing calls cut, lately
 
   std::deque<Time> sends;     // attempts, lately
@@ -338,6 +347,8 @@
 
   bool allowed(const Call& call, const Server& server) const {
     if (!server.listed) return false;
+    const std::vector<ServerId>& unfit = call.unfit;
+    if (std::find(unfit.begin(), unfit.end(), server.entry.id) != unfit.end()) return false;
     const std::vector<std::uint32_t>& nodes = class_of(call).nodes;
     return nodes.empty() || std::find(nodes.begin(), nodes.end(), server.entry.node) != nodes.end();
   }
@@ -464,7 +475,8 @@
   void hold_or_refuse(Call& call) {
     const double longest = std::min(class_of(call).aim_s, call.end - now_) - std::max(0.0, spacing_);
     if (longest <= 0) return refuse(call);
-    const double x = spacing_ < 0 ? longest : std::clamp(spacing_, std::min(kSpacingLeast, longest), longest);
+    const double known = spacing_ < 0 ? kSpacingFirst : spacing_;
+    const double x = std::clamp(known, std::min(kSpacingLeast, longest), longest);
     const double most = std::floor(longest / x);
     const Time due = (held_ == 0 ? now_ : std::max(now_, last_due_)) + x;
     if (held_ >= most || due > now_ + longest) return refuse(call);
@@ -504,6 +516,7 @@
     answered(*call);
     busy_.erase(call->key);
     missed_.erase(call->key);
+    for (const ServerId id : call->unfit) note_contradicted(id);
     Server* server = find(e.server);
     if (server != nullptr && usable(e.spent_s)) {
       server->answered_sent = std::max(server->answered_sent, call->sent);
@@ -547,6 +560,7 @@
         (delay > server.slow_delay ? kWeightFall : kWeightReturn) * (delay - server.slow_delay);
     server.marked_until = -kNever;
     server.faults -= kFaultGain * server.faults;
+    server.rejects -= kFaultGain * server.rejects;
     count_answer(server);
   }
 
@@ -597,6 +611,7 @@
           note_busy(call->key);
           return refuse(*call);
         }
+        if (e.cause == Cause::kUnfit || e.cause == Cause::kRejected) return answered_never(*call, e);
         // A fault in signalling: it may have run, but holds nothing that must be released first.
         call->in_doubt = true;
         return try_again(*call);
@@ -608,6 +623,36 @@
     }
   }
 
+  // The server did not do the call, and never will. Another is asked only where it may take what this one
+  // does not: coming back, or the same server again, can't help.
+  void answered_never(Call& call, const AttemptEnded& e) {
+    call.unfit.push_back(e.server);
+    bool another = false;
+    for (const auto& [id, server] : servers_) another = another || allowed(call, server);
+    const bool may_help = e.cause == Cause::kUnfit || odd_one_out(e.server);
+    if (may_help && another && call.attempts < settings_.attempt_limit) return try_again(call);
+    refuse(call, true);
+  }
+
+  // A server that rejects nearly every call at once would look like the fastest one, and lose them all.
+  bool odd_one_out(ServerId id) const {
+    const auto odd = servers_.find(id);
+    if (odd == servers_.end() || odd->second.rejects < kRejectsOdd) return false;
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& each) {
+      return each.second.listed && each.second.rate.now(now_) > 0 && each.second.rejects < kRejectsUsual;
+    });
+  }
+
+  // Another server took the call: the fault was the server's own. It does harm where versions differ on
+  // purpose: the older server is turned away from for calls that it could take.
+  void note_contradicted(ServerId id) {
+    Server* server = find(id);
+    if (server == nullptr) return;
+    server->faults += kFaultGain * (1 - server->faults);
+    server->strikes += 1;
+    if (server->strikes >= kFaultsToSuspect) suspect(*server);
+  }
+
   // One crowded number: its calls cost processors work and stand nowhere. It gets single tries at doubling
   // gaps until one stands. Also catches a number that is out of order; does harm where a line frees within
   // the gap.
@@ -683,6 +728,12 @@
       case Outcome::kError:
         if (e.cause == Cause::kNumberBusy) {
           count_answer(server);
+        } else if (e.cause == Cause::kUnfit || e.cause == Cause::kRejected) {
+          // Whether the fault is the call's or the server's, another server's answer to it tells.
+          const int before = server.strikes;
+          count_answer(server);
+          server.strikes = before;
+          if (e.cause == Cause::kRejected) server.rejects += kFaultGain * (1 - server.rejects);
         } else {
           server.faults += kFaultGain * (1 - server.faults);
           const int in_a_row = server.strikes + 1;
@@ -759,13 +810,15 @@
 
   // ---- Ending: one place ----
 
-  void refuse(Call& call) {
-    note_missed(call);
+  void refuse(Call& call, bool as_answered = false) {
+    if (!as_answered) note_missed(call);
     const bool may_refuse = !call.in_doubt || class_of(call).effect == Effect::kRepeatable;
     if (may_refuse) {
-      const double pause = std::max(spacing_, held_ > 0 ? last_due_ - now_ : 0);
+      // Advice is owed before anything stood, too.
+      const double spacing = spacing_ < 0 ? kMarkLeast : spacing_;
+      const double pause = std::max(spacing, held_ > 0 ? last_due_ - now_ : 0);
       const double advice = settings_.gives_retry_after ? std::min(pause, settings_.max_retry_after_s) : 0;
-      emit(RefuseCall{call.id, std::max(0.0, advice)});
+      emit(RefuseCall{call.id, as_answered ? 0 : std::max(0.0, advice), as_answered});
     } else {
       emit(FailCall{call.id});
     }
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -10,6 +10,7 @@
 #include <limits>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -712,6 +713,149 @@
   EXPECT_EQ(b.sent_to(b.call(2, 0)), 10u);
 }
 
+// ---- Answers for good ----
+
+const RefuseCall* rejected(const std::vector<Action>& actions) {
+  for (const Action& a : actions) {
+    if (const auto* r = std::get_if<RefuseCall>(&a)) return r->as_answered ? r : nullptr;
+  }
+  return nullptr;
+}
+
+// A caller told 'too busy, come back' of a call that no server will ever take comes back for ever.
+TEST(Never, WithNoServerLeftThatMayTakeItTheAnswerIsPassedOnWithoutARetryAfter) {
+  Bench b;
+  b.servers(1);
+  ASSERT_EQ(b.sends(b.call(1, 0)), 1);
+  const auto out = b.ended(1, 10, Outcome::kError, Cause::kUnfit);
+  EXPECT_EQ(b.sends(out), 0) << "the same server again can't help";
+  ASSERT_NE(rejected(out), nullptr);
+  EXPECT_EQ(rejected(out)->retry_after_s, 0);
+}
+
+TEST(Never, AnotherServerIsAskedOnceEach) {
+  Bench b;
+  b.servers(3);
+  std::set<ServerId> asked;
+  std::vector<Action> out = b.call(1, 0);
+  for (std::uint32_t attempt = 0; b.sends(out) == 1; ++attempt) {
+    const ServerId server = b.sent_to(out);
+    ASSERT_TRUE(asked.insert(server).second) << "asked twice";
+    out = b.ended(1, server, Outcome::kError, Cause::kUnfit, attempt);
+  }
+  EXPECT_EQ(asked.size(), 3u);
+  EXPECT_NE(rejected(out), nullptr);
+}
+
+TEST(Never, WhatIsTheCallsOwnIsNotTriedElsewhere) {
+  Bench b;
+  b.servers(3);
+  b.call(1, 0);
+  const auto out = b.ended(1, 10, Outcome::kError, Cause::kRejected);
+  EXPECT_EQ(b.sends(out), 0);
+  EXPECT_NE(rejected(out), nullptr);
+}
+
+// Where the others have no room now, the call is not lost for good: coming back may help.
+TEST(Never, WithAnotherServerThatHasNoRoomTheCallerIsToldToComeBack) {
+  Bench b;
+  b.servers(2);
+  b.call(1, 1);
+  b.full(1, 11, 0, 1.0);
+  b.pass(CallAbandoned{1});
+  ASSERT_EQ(b.sent_to(b.call(2, 0)), 10u);
+  const auto out = b.ended(2, 10, Outcome::kError, Cause::kUnfit);
+  EXPECT_EQ(rejected(out), nullptr);
+  ASSERT_NE(b.refused(out), nullptr);
+  EXPECT_GT(b.refused(out)->retry_after_s, 0);
+}
+
+// A server that refuses at once what others take looks like the fastest one. Its share of the calls must
+// fall.
+TEST(Never, AServerThatOthersContradictIsLeftAlone) {
+  Bench b;
+  b.servers(2);
+  b.warm(10, 0, 0.05);
+  b.warm(11, 1, 0.05);
+  int met = 0;
+  for (CallId id = 1; id <= 60; ++id) {
+    std::uint32_t attempt = 0;
+    auto out = b.call(id, 0);
+    if (b.sent_to(out) == 10) {
+      met += 1;
+      b.until(b.now + 0.001);
+      out = b.ended(id, 10, Outcome::kError, Cause::kUnfit);
+      attempt = 1;
+    }
+    ASSERT_EQ(b.sent_to(out), 11u);
+    b.until(b.now + 0.02);
+    b.stood(id, 11, 0.02, attempt);
+    b.ended(id, 11, Outcome::kEnded, Cause::kNone, attempt, 0, true);
+  }
+  EXPECT_GE(met, 6);
+  EXPECT_LE(met, 12);
+}
+
+// Calls that no server takes must not make suspects: one caller's fault would close the servers to all.
+TEST(Never, CallsThatNobodyTakesMakeNoSuspect) {
+  Bench b;
+  b.servers(2);
+  b.warm(10, 0, 0.05);
+  b.warm(11, 1, 0.05);
+  for (CallId id = 1; id <= 40; ++id) {
+    const ServerId first = b.sent_to(b.call(id, 0));
+    b.until(b.now + 0.05);
+    const ServerId second = b.sent_to(b.ended(id, first, Outcome::kError, Cause::kUnfit));
+    ASSERT_NE(second, first);
+    b.until(b.now + 0.05);
+    ASSERT_NE(rejected(b.ended(id, second, Outcome::kError, Cause::kUnfit, 1)), nullptr) << id;
+  }
+  EXPECT_EQ(b.sent_to(b.call(100, 0)), 10u);
+  EXPECT_EQ(b.sent_to(b.call(101, 1)), 11u);
+}
+
+// One server that says of every call that nobody takes it, while another takes such calls.
+TEST(Never, ARejectionIsNotBelievedOfTheOneServerThatRejectsNearlyAll) {
+  Bench b;
+  b.servers(2);
+  b.warm(10, 0, 0.05);
+  b.warm(11, 1, 0.05);
+  int lost = 0;
+  for (CallId id = 1; id <= 60; ++id) {
+    std::uint32_t attempt = 0;
+    auto out = b.call(id, 0);
+    if (b.sent_to(out) == 10) {
+      b.until(b.now + 0.001);
+      out = b.ended(id, 10, Outcome::kError, Cause::kRejected);
+      attempt = 1;
+      if (rejected(out) != nullptr) {
+        lost += 1;
+        continue;
+      }
+    }
+    ASSERT_EQ(b.sent_to(out), 11u);
+    b.until(b.now + 0.02);
+    b.stood(id, 11, 0.02, attempt);
+    b.ended(id, 11, Outcome::kEnded, Cause::kNone, attempt, 0, true);
+  }
+  EXPECT_LE(lost, 8) << "of 60";
+}
+
+// A burst that meets a proxy just started: each server is let two set-ups before one was answered.
+TEST(Holding, ABurstFromNothingIsHeldNotRefused) {
+  Bench b;
+  b.servers(1);
+  int sent = 0;
+  int refused = 0;
+  for (CallId id = 1; id <= 64; ++id) {
+    const auto out = b.call(id, 0);
+    sent += b.sends(out);
+    refused += b.refused(out) != nullptr;
+  }
+  EXPECT_EQ(refused, 0);
+  EXPECT_LE(sent, 2);
+}
+
 // ---- Sites that tell or allow less ----
 
 // ---- Many senders ----
--- a/tests/edge/config_test.cpp
+++ b/tests/edge/config_test.cpp
@@ -51,7 +51,7 @@
   EXPECT_EQ(config.settings.classes.size(), 2u);
   EXPECT_EQ(config.settings.classes[0].aim_s, 1.2);
   EXPECT_EQ(config.settings.classes[1].effect, Effect::kOnce);
-  EXPECT_EQ(config.class_of_service.at(7), 1u);
+  EXPECT_EQ(config.classes.by_service.at(7), 1u);
   EXPECT_EQ(config.settings.release_wait_s, 0.5);
   EXPECT_EQ(config.settings.own_number, 1u);
   EXPECT_FALSE(config.core.watchdog) << "no probes unless they are allowed";
@@ -83,6 +83,21 @@
   EXPECT_EQ(fault(text), ":5: classes[1].service_identifier: 1 names another class already");
 }
 
+TEST(EdgeConfig, RealmsAndTheUnknownClassAreRead) {
+  const File file(
+      with("unknown_class: b\nrealms: [{realm: Guest.test, action: local}, "
+           "{realm: \"*\", action: local}]\n"));
+  const Config config = load_config(file.path);
+  EXPECT_EQ(config.classes.unknown, 1u);
+  EXPECT_EQ(config.realms.at("guest.test"), Realms::Action::kLocal);
+  EXPECT_EQ(config.other_realms, Realms::Action::kLocal);
+  const File plain(kGood);
+  EXPECT_FALSE(load_config(plain.path).classes.unknown) << "refused unless told otherwise";
+  EXPECT_EQ(fault(with("unknown_class: c\n")), ":6: unknown_class: 'c' is none of a, b, refuse");
+  EXPECT_EQ(fault(with("realms: [{realm: x, action: local}, {realm: X, action: refuse}]\n")),
+            ":6: realms[1].realm: X stands twice");
+}
+
 TEST(EdgeConfig, ReloadTellsWhatNeedsARestart) {
   const File file(kGood);
   const Config before = load_config(file.path);
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,9 @@
   std::vector<std::unique_ptr<Line>> lines;
   std::vector<bool> open;
   std::function<void(Line&, const MessageView&)> on_setup;  // CCR INITIAL
+  std::function<void(Line&, const MessageView&)> on_end;    // CCR TERMINATION; unset: success
+  std::map<std::string, std::string> answers;               // the last one of set-ups, by session, whole
+  std::map<std::string, std::vector<std::uint32_t>> end_results;
   int setups = 0, ends = 0, aborts = 0, dprs = 0, ceas = 0;
   bool answer_cer = true;
   bool answer_dpr = true;
@@ -114,6 +118,9 @@
       }
       if (view.header.command == diameter::kCreditControl && request_type(view) == diameter::kInitial) {
         results[session_of(view)].push_back(result_of(view));
+        answers[session_of(view)] = bytes_of(view);
+      } else if (view.header.command == diameter::kCreditControl) {
+        end_results[session_of(view)].push_back(result_of(view));
       }
       return;
     }
@@ -135,6 +142,7 @@
           if (on_setup) on_setup(line, view);
         } else {
           ends += 1;
+          if (on_end) return on_end(line, view);
           success(line, view);
         }
         return;
@@ -144,7 +152,8 @@
   }
   // A CCR over its latest connection.
   void ccr(const std::string& session, std::uint32_t type, std::uint32_t end_to_end,
-           const std::string& extra = "", std::uint32_t wait_ms = 5000, std::uint8_t flags = 0) {
+           const std::string& extra = "", std::uint32_t wait_ms = 5000, std::uint8_t flags = 0,
+           const std::string& realm = "test", std::optional<std::uint32_t> service = 1) {
     Header header;
     header.flags = static_cast<std::uint8_t>(diameter::kRequest | diameter::kProxiable | flags);
     header.command = diameter::kCreditControl;
@@ -153,8 +162,9 @@
     header.end_to_end = end_to_end;
     Builder b(header);
     b.text(avp::kSessionId, session).text(avp::kOriginHost, host).text(avp::kOriginRealm, "test");
-    b.text(avp::kDestinationRealm, "test").u32(avp::kAuthApplicationId, 4).text(avp::kServiceContextId, "c");
-    b.u32(avp::kCcRequestType, type).u32(avp::kCcRequestNumber, 0).u32(avp::kServiceIdentifier, 1);
+    b.text(avp::kDestinationRealm, realm).u32(avp::kAuthApplicationId, 4).text(avp::kServiceContextId, "c");
+    b.u32(avp::kCcRequestType, type).u32(avp::kCcRequestNumber, 0);
+    if (service) b.u32(avp::kServiceIdentifier, *service);
     if (type == 1) b.u32(avp::kMaximumWaitTime, wait_ms);
     b.raw(extra);
     lines.back()->send(b.finish());
@@ -209,7 +219,7 @@
     config.settings.classes.resize(1);
     config.settings.classes[0].aim_s = 2;
     config.settings.classes[0].deadline_s = 9;
-    config.class_of_service[1] = 0;
+    config.classes.by_service[1] = 0;
     config.settings.attempt_limit = 4;
     config.settings.release_wait_s = 0.05;
     config.settings.max_retry_after_s = 2;
@@ -545,6 +555,137 @@
   EXPECT_NE(page.find("404 Not Found"), std::string::npos);
 }
 
+// A core server that can't do a call for good: the caller was told 'too busy, come back' for ever, and nobody
+// else was told anything.
+TEST_F(Rig, APermanentErrorReachesTheCallerAndTheOperators) {
+  start();
+  connect();
+  core.on_setup = [&](Line& line, const MessageView& view) {
+    diameter::LocalNode local;
+    local.host = core.host;
+    local.realm = "test";
+    line.send(diameter::error_answer(local, view, diameter::kAvpUnsupported,
+                                     view.find(avp::kCcRequestType.code)->whole, "not known here"));
+  };
+  for (std::uint32_t i = 1; i <= 6; ++i) caller.ccr("s" + std::to_string(i), 1, i);
+  wait([&] { return caller.answers.size() == 6; }, "answers");
+  MessageView view;
+  ASSERT_FALSE(diameter::decode(caller.answers["s1"], view));
+  EXPECT_EQ(result_of(view), diameter::kAvpUnsupported);
+  EXPECT_EQ(view.find(avp::kOriginHost.code)->data, core.host) << "who says so";
+  EXPECT_EQ(view.find(avp::kErrorMessage.code)->data, "not known here");
+  EXPECT_EQ(view.find(avp::kRetryAfter.code, diameter::kVendorOwn), nullptr);
+  EXPECT_EQ(describe_failed_avp(view.find(avp::kFailedAvp.code)->data), "CC-Request-Type (416)");
+  EXPECT_EQ(core.setups, 6) << "the same server again can't help";
+  std::string page;
+  auto http = net::Stream::connect(loop, edge->admin_address(), 1 << 16);
+  http->set({[&] {
+               http->write(
+                   "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+                   "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+             },
+             [&](std::string_view bytes) { page += bytes; }, [&](const std::string&) { loop.stop(); }});
+  loop.run();
+  EXPECT_NE(page.find("\"state\": \"a core server answers only errors\""), std::string::npos);
+  EXPECT_NE(page.find("\"last_error\": 5001"), std::string::npos);
+  EXPECT_NE(page.find("mintrock_core_answers_total{result=\"5001\",server=\"core-0.test\"} 6"),
+            std::string::npos);
+}
+
+// RFC 6733 section 7.2: an answer with the E bit may lack the session. It was taken for an answer to nothing.
+TEST_F(Rig, AnErrorAnswerWithoutItsSessionIsUnderstood) {
+  start();
+  connect();
+  core.on_setup = [&](Line& line, const MessageView& view) {
+    Builder b(diameter::answer_header(view.header, true));
+    b.u32(avp::kResultCode, 3007).text(avp::kOriginHost, core.host).text(avp::kOriginRealm, "test");
+    line.send(b.finish());
+  };
+  caller.ccr("s", 1, 1);
+  wait([&] { return caller.results["s"].size() == 1; }, "an answer");
+  EXPECT_EQ(caller.results["s"][0], 3007u);
+}
+
+TEST_F(Rig, AnotherRealmsRequestIs3003) {
+  start([](Config& c) { c.realms["guest.test"] = Realms::Action::kLocal; });
+  connect();
+  caller.ccr("other", 1, 1, "", 5000, 0, "elsewhere.example");
+  caller.ccr("guest", 1, 2, "", 5000, 0, "Guest.Test");
+  caller.ccr("none", 3, 3, "", 5000, 0, "elsewhere.example");
+  wait([&] { return caller.results.size() == 2 && caller.end_results.size() == 1; }, "answers");
+  EXPECT_EQ(caller.results["other"], (std::vector<std::uint32_t>{diameter::kRealmNotServed}));
+  EXPECT_EQ(caller.results["guest"], (std::vector<std::uint32_t>{diameter::kSuccess}));
+  EXPECT_EQ(caller.end_results["none"], (std::vector<std::uint32_t>{diameter::kRealmNotServed}));
+  EXPECT_EQ(core.setups, 1);
+}
+
+TEST_F(Rig, ACallOfNoKnownClassIsRefusedNamingTheAvp) {
+  start();
+  connect();
+  caller.ccr("unknown", 1, 1, "", 5000, 0, "test", 77);
+  caller.ccr("missing", 1, 2, "", 5000, 0, "test", std::nullopt);
+  wait([&] { return caller.answers.size() == 2; }, "answers");
+  for (const auto& [session, result] :
+       {std::pair{"unknown", diameter::kInvalidAvpValue}, std::pair{"missing", diameter::kMissingAvp}}) {
+    MessageView view;
+    ASSERT_FALSE(diameter::decode(caller.answers[session], view));
+    EXPECT_EQ(result_of(view), result);
+    EXPECT_EQ(describe_failed_avp(view.find(avp::kFailedAvp.code)->data), "Service-Identifier (439)");
+  }
+  EXPECT_EQ(core.setups, 0);
+}
+
+// The caller of an end that is lost with its proxy says it again, if nobody told it that all is well. The
+// proxy told it so before the core server had a word in it.
+TEST_F(Rig, AnEndIsAnsweredOnceTheCoreServerHasConfirmedIt) {
+  start();
+  connect();
+  caller.ccr("s", 1, 1);
+  wait([&] { return caller.results["s"].size() == 1; }, "it stands");
+  std::string held;
+  core.on_end = [&](Line&, const MessageView& view) { held = bytes_of(view); };
+  caller.ccr("s", 3, 2);
+  wait([&] { return !held.empty(); }, "the end reaches the core server");
+  EXPECT_TRUE(caller.end_results.empty());
+  caller.ccr("s", 3, 2, "", 5000, diameter::kRetransmitted);
+  caller.ccr("behind", 1, 3);
+  wait([&] { return caller.results["behind"].size() == 1; }, "what was sent before has been read");
+  MessageView view;
+  ASSERT_FALSE(diameter::decode(held, view));
+  core.success(*core.lines.back(), view);
+  wait([&] { return caller.end_results["s"].size() == 1; }, "confirmed");
+  EXPECT_EQ(caller.end_results["s"][0], diameter::kSuccess);
+  EXPECT_EQ(core.ends, 1) << "the end that came again was the same one";
+}
+
+// The end of a call whose proxy died before it could tell where the call stands.
+TEST_F(Rig, AnEndThatNamesNoServerIsAskedOfThemAll) {
+  start();
+  connect();
+  caller.ccr("lost", 3, 1);
+  wait([&] { return caller.end_results["lost"].size() == 1; }, "an answer");
+  EXPECT_EQ(core.ends, 1);
+  EXPECT_EQ(caller.end_results["lost"][0], diameter::kSuccess);
+  core.on_end = [&](Line& line, const MessageView& view) {
+    diameter::LocalNode local;
+    local.host = core.host;
+    local.realm = "test";
+    line.send(diameter::error_answer(local, view, diameter::kUnknownSessionId, {}, ""));
+  };
+  caller.ccr("nobodys", 3, 2);
+  wait([&] { return caller.end_results["nobodys"].size() == 1; }, "an answer");
+  EXPECT_EQ(caller.end_results["nobodys"][0], diameter::kUnknownSessionId);
+}
+
+TEST_F(Rig, AnEndThatNobodyConfirmsIsAnsweredInTime) {
+  start([](Config& c) { c.callers.end_wait_s = 0.05; });
+  connect();
+  core.on_end = [](Line&, const MessageView&) {};
+  caller.ccr("s", 3, 1);
+  wait([&] { return caller.end_results["s"].size() == 1; }, "an answer");
+  EXPECT_EQ(caller.end_results["s"][0], diameter::kUnableToDeliver);
+}
+
 TEST_F(Rig, GarbageFromTheCoreSideClosesThatConnectionOnly) {
   start();
   connect();
