Each guard is shown to matter; a cold server that answers errors is not pushed over

A line while a run goes on, SVG plots by gnuplot. bench compares relay and proxy call by call at one rate, from the intended moment of sending; restart measures what a proxy just started refuses. Times may be in us.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,11 @@
 PACKAGES := $(shell sed '/^\#/d' packages.txt)
 JOBS ?= $(shell nproc)
 
-.PHONY: run test deps build
+# Takes each guard out of a copy of the source, one at a time: something must notice. Some minutes long.
+mutate: build
+	build-programs/src/mintrock-lab mutate tests/mutations.yaml --build build-mutations
+
+.PHONY: run test deps build mutate
 deps:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || { apt-get update && \
 	  DEBIAN_FRONTEND=noninteractive apt-get install -y --no-install-recommends make $(PACKAGES); }
@@ -13,7 +17,8 @@
 	cmake --build build-programs -j $(JOBS)
 
 run: build
-	build-programs/src/mintrock-lab run scenarios/bad-day.yaml
+	build-programs/src/mintrock-lab run scenarios/bad-day.yaml --report build-programs/bad-day/report.json \
+	  --plots build-programs/bad-day
 
 test: deps
 	cmake -G Ninja -B build-tests -DMINTROCK_PROGRAMS=ON -DMINTROCK_BUILD_TESTS=ON -DMINTROCK_WERROR=ON \
--- a/src/config/yaml.cpp
+++ b/src/config/yaml.cpp
@@ -43,15 +43,16 @@
 }  // namespace
 
 double parse_time(const std::string& text) {
-  static const std::pair<const char*, double> kUnits[] = {{"ms", 0.001}, {"s", 1}, {"m", 60}, {"h", 3600}};
+  static const std::pair<const char*, double> kUnits[] = {
+      {"us", 1e-6}, {"ms", 0.001}, {"s", 1}, {"m", 60}, {"h", 3600}};
   const std::size_t unit_at = text.find_first_not_of("0123456789.+-eE");
-  if (unit_at == std::string::npos) throw std::runtime_error("'" + text + "' has no unit (ms, s, m, h)");
+  if (unit_at == std::string::npos) throw std::runtime_error("'" + text + "' has no unit (us, ms, s, m, h)");
   double value = 0;
   if (!parse_number(text.substr(0, unit_at), value)) throw std::runtime_error("'" + text + "' is no time");
   for (const auto& [name, seconds] : kUnits) {
     if (text.substr(unit_at) == name) return value * seconds;
   }
-  throw std::runtime_error("'" + text + "' has no unit of ms, s, m, h");
+  throw std::runtime_error("'" + text + "' has no unit of us, ms, s, m, h");
 }
 
 Section::Section(std::string file, std::string path, YAML::Node node)
--- a/src/config/yaml.hpp
+++ b/src/config/yaml.hpp
@@ -31,7 +31,7 @@
   void read(const char* key, bool& out);
   void read(const char* key, double& out, double least, double most);
   void read(const char* key, std::uint32_t& out, std::uint32_t least, std::uint32_t most);
-  // A time with its unit: "250ms", "1.5s", "2m", "1h"; out in seconds.
+  // A time with its unit: "800us", "250ms", "1.5s", "2m", "1h"; out in seconds.
   void read_time(const char* key, double& out, double least_s, double most_s);
   // One of the names, in order; `out` gets its place.
   void read_choice(const char* key, const std::vector<std::string>& names, std::size_t& out);
--- a/src/lab/checker.cpp
+++ b/src/lab/checker.cpp
@@ -56,26 +56,48 @@
   bool ready = false;
 };
 
-class Checker {
+}  // namespace
+
+class Checker::Impl {
  public:
-  Checker(const Scenario& scenario, double slack_s) : scenario_(scenario), slack_(slack_s) {
+  Impl(const Scenario& scenario, double slack_s) : scenario_(scenario), slack_(slack_s) {
     for (const char* each :
          {"one answer", "one attempt", "drains kept", "cold not pushed over", "release awaited"}) {
       rules_.push_back({each, 0, 0, {}, 0, ""});
     }
   }
 
-  CheckReport run(std::vector<v1::Record> records) {
-    std::stable_sort(records.begin(), records.end(),
-                     [](const auto& a, const auto& b) { return a.time() < b.time(); });
-    for (const v1::Record& record : records) take(record);
-    for (auto& [session, attempts] : attempts_) judge_attempts(session, attempts);
+  CheckReport finish() {
     for (auto& [session, each] : tries_) judge_try(each);
     count();
     report_.rules = rules_;
     return report_;
   }
 
+  Progress progress() const {
+    Progress out;
+    out.tries = tries_.size();
+    out.stood = stood_;
+    out.other = other_;
+    out.rules = rules_;
+    return out;
+  }
+
+  void take(const v1::Record& record) {
+    switch (record.kind()) {
+      case v1::Record::FRAME:
+        return frame(record);
+      case v1::Record::LIST:
+        return list(record);
+      case v1::Record::NOTE:
+        return note(record);
+      case v1::Record::CLOSED:
+        return closed(record);
+      default:
+        return;
+    }
+  }
+
  private:
   enum Rule { kAnswer, kOne, kDrain, kCold, kRelease };
 
@@ -99,21 +121,6 @@
     return text;
   }
 
-  void take(const v1::Record& record) {
-    switch (record.kind()) {
-      case v1::Record::FRAME:
-        return frame(record);
-      case v1::Record::LIST:
-        return list(record);
-      case v1::Record::NOTE:
-        return note(record);
-      case v1::Record::CLOSED:
-        return closed(record);
-      default:
-        return;
-    }
-  }
-
   static bool is_caller(const std::string& who) { return who.rfind("dock-", 0) == 0; }
   static bool is_core(const std::string& who) { return who.rfind("core-", 0) == 0; }
 
@@ -155,6 +162,8 @@
       const auto* result = view.find(avp::kResultCode.code);
       each.result = result != nullptr ? diameter::as_u32(*result).value_or(0) : 0;
       open_[record.connection()].erase(session);
+      (each.result / 1000 == 2 ? stood_ : other_) += 1;
+      judge_delay(each);
     }
   }
 
@@ -172,7 +181,9 @@
       attempt.proxy = record.with();
       attempt.connection = record.connection();
       attempt.arrived = record.time();
-      attempts_[session].push_back(attempt);
+      std::vector<Attempt>& attempts = attempts_[session];
+      if (!attempts.empty()) judge_pair(session, attempts.back(), attempt);
+      attempts.push_back(attempt);
       report_.attempts += 1;
       on_line_[{record.who(), record.connection()}].insert(session);
       judge_drain(attempt, session);
@@ -239,7 +250,12 @@
     const json text = json::parse(record.text(), nullptr, false);
     if (!text.is_object()) return;
     const std::string event = text.value("event", "");
-    if (event == "fault") report_.troubles[text.value("kind", "?")] += 1;
+    if (event == "fault") {
+      const std::string kind = text.value("kind", "?");
+      report_.troubles[kind] += 1;
+      report_.faults.push_back({record.time(), text.value("for", 0.0),
+                                kind + " " + record.who().substr(0, record.who().find('.'))});
+    }
     if (event == "proxy_started") {
       // A new process has been told nothing yet.
       for (auto at = told_.begin(); at != told_.end();) {
@@ -286,29 +302,30 @@
     if (load > 1) broke(kCold, text);
   }
 
-  void judge_attempts(const std::string& session, std::vector<Attempt>& attempts) {
-    std::stable_sort(attempts.begin(), attempts.end(),
-                     [](const Attempt& a, const Attempt& b) { return a.arrived < b.arrived; });
-    for (std::size_t i = 0; i + 1 < attempts.size(); ++i) {
-      const Attempt& one = attempts[i];
-      const Attempt& next = attempts[i + 1];
-      const double gap = next.arrived - one.over();
-      margin(kOne, gap < 0 ? 2 : 0, "next attempt " + ms(gap) + " after the one before");
-      if (gap < 0) {
-        broke(kOne, session + " at " + next.core + " while out at " + one.core);
-        continue;
-      }
-      // In doubt: ended by a release or by the connection, not by an answer that stayed the last word.
-      double doubt = -kNever;
-      if (one.released < kNever && one.released <= next.arrived) doubt = one.released;
-      if (one.closed < kNever) doubt = std::max(doubt, one.closed);
-      if (doubt == -kNever) continue;
-      const double waited = next.arrived - doubt;
-      const double wait = scenario_.rules.release_wait_s;
-      margin(kRelease, waited > 0 ? wait / waited : 2,
-             "next set-up " + ms(waited) + " after an attempt in doubt");
-      if (waited < wait - slack_) broke(kRelease, session + " sent again after " + ms(waited));
+  // Judged as the next one arrives: what has passed by then is all that counts.
+  void judge_pair(const std::string& session, const Attempt& one, const Attempt& next) {
+    const double gap = next.arrived - one.over();
+    margin(kOne, gap < 0 ? 2 : 0, "next attempt " + ms(gap) + " after the one before");
+    if (gap < 0) {
+      broke(kOne, session + " at " + next.core + " while out at " + one.core);
+      return;
     }
+    // In doubt: ended by a release or by the connection, not by an answer that stayed the last word.
+    double doubt = -kNever;
+    if (one.released < kNever && one.released <= next.arrived) doubt = one.released;
+    if (one.closed < kNever) doubt = std::max(doubt, one.closed);
+    if (doubt == -kNever) return;
+    const double waited = next.arrived - doubt;
+    const double wait = scenario_.rules.release_wait_s;
+    margin(kRelease, waited > 0 ? wait / waited : 2,
+           "next set-up " + ms(waited) + " after an attempt in doubt");
+    if (waited < wait - slack_) broke(kRelease, session + " sent again after " + ms(waited));
+  }
+
+  void judge_delay(const Try& each) {
+    const double delay = each.answered - each.sent;
+    margin(kAnswer, delay / (scenario_.patience_s + slack_), each.session + " answered after " + ms(delay));
+    if (delay > scenario_.patience_s + slack_) broke(kAnswer, each.session + " answered after " + ms(delay));
   }
 
   void judge_try(const Try& each) {
@@ -321,12 +338,8 @@
     }
     if (each.answers > 1)
       broke(kAnswer, each.session + " answered " + std::to_string(each.answers) + " times");
-    if (each.answers > 0) {
-      const double delay = each.answered - each.sent;
-      margin(kAnswer, delay / (scenario_.patience_s + slack_), each.session + " answered after " + ms(delay));
-      if (delay > scenario_.patience_s + slack_)
-        broke(kAnswer, each.session + " answered after " + ms(delay));
-    } else if (each.closed == kNever) {
+    // A connection that closes after the caller's patience excuses nothing.
+    if (each.answers == 0 && each.closed > each.sent + scenario_.patience_s + slack_) {
       broke(kAnswer, each.session + " never answered");
       report_.unaccounted += 1;
     }
@@ -393,6 +406,8 @@
       counts.served /= std::max<double>(1, static_cast<double>(counts.offered));
     for (std::size_t i = 0; i < worth.size(); ++i)
       report_.service.push_back(worth[i] > 0 ? served[i] / worth[i] : 1);
+    for (FaultOfRun& fault : report_.faults) fault.at -= begin;
+    count_seconds(begin);
     std::sort(delays.begin(), delays.end());
     if (!delays.empty()) {
       report_.delay_p50 = delays[delays.size() / 2];
@@ -420,10 +435,73 @@
     }
   }
 
+  // The run second by second, by the moment at which each try, or a wish's first try, was sent.
+  void count_seconds(double begin) {
+    std::map<std::uint32_t, const Scenario::Class*> classes;
+    for (const auto& each : scenario_.classes) classes[each.service_identifier] = &each;
+    struct Part {
+      std::vector<double> delays;
+      std::map<std::string, std::pair<double, double>> worth;  // served and offered, by class
+    };
+    std::vector<Part> parts;
+    std::map<std::string, std::pair<double, bool>> wishes;  // first try; served in time
+    std::map<std::string, std::string> class_of;
+    for (const auto& [session, each] : tries_) {
+      const std::string wish = wish_of(session);
+      auto& [first, served] = wishes.try_emplace(wish, kNever, false).first->second;
+      first = std::min(first, each.sent);
+      const auto known = classes.find(each.service);
+      if (known != classes.end()) class_of[wish] = known->second->name;
+    }
+    const auto place = [&](double time) {
+      const auto second = static_cast<std::size_t>(std::max(0.0, time - begin));
+      while (parts.size() <= second) {
+        parts.emplace_back();
+        report_.seconds.push_back({static_cast<double>(report_.seconds.size()), 0, 0, 0, 0, 0, 0, 0, {}});
+      }
+      return second;
+    };
+    for (const auto& [session, each] : tries_) {
+      const std::size_t second = place(each.sent);
+      SecondOfRun& s = report_.seconds[second];
+      s.tries += 1;
+      if (each.answers == 0) {
+        s.unanswered += 1;
+      } else if (each.result / 1000 == 2) {
+        s.stood += 1;
+        parts[second].delays.push_back(each.answered - each.sent);
+        const auto known = classes.find(each.service);
+        auto& [first, served] = wishes.at(wish_of(session));
+        served |= known != classes.end() && each.cut == kNever &&
+                  each.answered - first <= known->second->told.aim_s;
+      } else {
+        (each.result == diameter::kTooBusy ? s.refused : s.failed) += 1;
+      }
+    }
+    for (const auto& [wish, state] : wishes) {
+      auto& [served, offered] = parts[place(state.first)].worth[class_of[wish]];
+      served += state.second ? 1 : 0;
+      offered += 1;
+    }
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+      std::vector<double>& delays = parts[i].delays;
+      std::sort(delays.begin(), delays.end());
+      if (!delays.empty()) {
+        report_.seconds[i].delay_p50 = delays[delays.size() / 2];
+        report_.seconds[i].delay_p99 = delays[delays.size() * 99 / 100];
+      }
+      for (const auto& [name, worth] : parts[i].worth) {
+        report_.seconds[i].served[name] = worth.first / worth.second;
+      }
+    }
+  }
+
   const Scenario& scenario_;
   double slack_;  // s; two processes stamp one event when their loops come to it
   std::vector<RuleVerdict> rules_;
   CheckReport report_;
+  std::uint64_t stood_ = 0;  // answers so far
+  std::uint64_t other_ = 0;
   std::map<std::string, Try> tries_;
   std::map<std::uint64_t, std::set<std::string>> open_;  // unanswered tries, by connection
   std::map<std::string, std::vector<Attempt>> attempts_;
@@ -432,7 +510,12 @@
   std::map<std::string, ColdBudget> cold_;
 };
 
-}  // namespace
+Checker::Checker(const Scenario& scenario, double slack_s)
+    : impl_(std::make_unique<Impl>(scenario, slack_s)) {}
+Checker::~Checker() = default;
+void Checker::take(const v1::Record& record) { impl_->take(record); }
+Checker::Progress Checker::progress() const { return impl_->progress(); }
+CheckReport Checker::finish() { return impl_->finish(); }
 
 bool CheckReport::good() const {
   return unaccounted == 0 && left_behind == 0 && tries > 0 &&
@@ -475,6 +558,20 @@
   }
   out["service_per_5s"] = service;
   out["troubles"] = troubles;
+  for (const SecondOfRun& s : seconds) {
+    out["seconds"].push_back({{"at", s.at},
+                              {"tries", s.tries},
+                              {"stood", s.stood},
+                              {"refused", s.refused},
+                              {"failed", s.failed},
+                              {"unanswered", s.unanswered},
+                              {"delay_p50_s", s.delay_p50},
+                              {"delay_p99_s", s.delay_p99},
+                              {"served", s.served}});
+  }
+  for (const FaultOfRun& f : faults) {
+    out["faults"].push_back({{"at", f.at}, {"for_s", f.for_s}, {"what", f.text}});
+  }
   return out.dump(2);
 }
 
@@ -521,7 +618,11 @@
 }
 
 CheckReport check_traces(const Scenario& scenario, std::vector<v1::Record> records, double slack_s) {
-  return Checker(scenario, slack_s).run(std::move(records));
+  std::stable_sort(records.begin(), records.end(),
+                   [](const auto& a, const auto& b) { return a.time() < b.time(); });
+  Checker checker(scenario, slack_s);
+  for (const v1::Record& record : records) checker.take(record);
+  return checker.finish();
 }
 
 }  // namespace mintrock::lab
--- a/src/lab/checker.hpp
+++ b/src/lab/checker.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,19 @@
   double served = 0;             // worth that stood within its aim and was not cut, over worth offered
 };
 
+// What became of the tries that began within one second.
+struct SecondOfRun {
+  double at = 0;  // s since the first try
+  std::uint64_t tries = 0, stood = 0, refused = 0, failed = 0, unanswered = 0;
+  double delay_p50 = 0, delay_p99 = 0;   // s, of those that stood
+  std::map<std::string, double> served;  // by class: worth in time over worth offered, by the first try
+};
+struct FaultOfRun {
+  double at = 0;  // s since the first try
+  double for_s = 0;
+  std::string text;  // kind and where
+};
+
 struct CheckReport {
   std::vector<RuleVerdict> rules;
   std::map<std::string, ClassCounts> classes;
@@ -51,6 +65,8 @@
   std::uint64_t ends_given_up = 0;                // ends that a caller gave up repeating
   double delay_p50 = 0, delay_p99 = 0;            // s, of those that stood
   std::map<std::string, std::uint64_t> troubles;  // what went wrong, by kind
+  std::vector<SecondOfRun> seconds;
+  std::vector<FaultOfRun> faults;
   bool good() const;
   std::string json() const;
   std::string table() const;
@@ -60,6 +76,28 @@
 // processes (which order does not settle): 0.02 s where processes get their turn, more on a machine so busy
 // that they don't, as under sanitizers in CI, where what counts is that calls are answered once and kept
 // apart.
+// The same while a run goes on: records in the order of their times, a report at the end.
+class Checker {
+ public:
+  Checker(const Scenario& scenario, double slack_s);
+  ~Checker();
+  Checker(const Checker&) = delete;
+  void take(const v1::Record& record);
+
+  struct Progress {
+    std::uint64_t tries = 0;
+    std::uint64_t stood = 0;
+    std::uint64_t other = 0;         // refused or failed
+    std::vector<RuleVerdict> rules;  // as far as can be told before the end
+  };
+  Progress progress() const;
+  CheckReport finish();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
 CheckReport check_traces(const Scenario& scenario, std::vector<v1::Record> records, double slack_s = 0.02);
 
 }  // namespace mintrock::lab
--- a/src/lab/list.cpp
+++ b/src/lab/list.cpp
@@ -111,6 +111,7 @@
     record.set_outgoing(true);
     record.set_text(json);
     trace_.write(record);
+    trace_.flush();  // rare, and told late it would look like a drain that was not kept
     to.stream->write("id: " + std::to_string(news.revision) + "\nevent: list\ndata: " + json + "\n\n");
   }
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -11,7 +11,9 @@
 #include "lab/bench.hpp"
 #include "lab/checker.hpp"
 #include "lab/import_day.hpp"
+#include "lab/mutate.hpp"
 #include "lab/parts.hpp"
+#include "lab/plot.hpp"
 #include "lab/trace.hpp"
 
 namespace {
@@ -66,6 +68,8 @@
   run->add_option("--edge", options.edge_program,
                   "the mintrock-edge to run; the one beside this program if not told");
   run->add_option("--slack", slack, kSlack);
+  run->add_option("--plots", options.plots, "draw the run's course into this folder, as SVG");
+  run->add_flag("--quiet", options.quiet, "no lines while it runs");
   run->callback([&] {
     options.slack_s = slack_s();
     if (options.edge_program.empty()) options.edge_program = beside("mintrock-edge");
@@ -73,11 +77,13 @@
   });
 
   std::string pcap, report;
+  std::string plots;
   CLI::App* check = app.add_subcommand("check", "checks the rules on the traces of a run");
   check->add_option("dir", dir, "the run's folder")->required();
   check->add_option("--report", report, "write the report there, as JSON");
   check->add_option("--pcap", pcap, "write the frames there as a capture file");
   check->add_option("--slack", slack, kSlack);
+  check->add_option("--plots", plots, "draw the run's course into this folder, as SVG");
   check->callback([&] {
     auto records = read_all(dir);
     if (!pcap.empty()) std::printf("%zu frames in %s\n", lab::write_pcap(records, pcap), pcap.c_str());
@@ -85,6 +91,7 @@
         lab::check_traces(lab::load_scenario(dir + "/scenario.yaml"), std::move(records), slack_s());
     std::fputs(out.table().c_str(), stdout);
     if (!report.empty()) std::ofstream(report) << out.json() << "\n";
+    if (!plots.empty()) lab::write_plots(out, plots);
     status = out.good() ? 0 : 1;
   });
 
@@ -104,17 +111,38 @@
   }
 });
 
+lab::MutateOptions mutations;
+CLI::App* mutate = app.add_subcommand("mutate", "takes guards out of a copy of the source, one at a time");
+mutate->add_option("list", mutations.list_file, "the mutations, a YAML file")->required();
+mutate->add_option("--source", mutations.source, "the source folder");
+mutate->add_option("--build", mutations.build, "a folder for the copy and its build")->required();
+mutate->add_option("--only", mutations.only, "those whose name has this in it");
+mutate->add_option("--report", mutations.report, "write the table there, as JSON");
+mutate->callback([&] { status = lab::run_mutations(mutations); });
+
 lab::BenchOptions bench;
 CLI::App* measure = app.add_subcommand("bench", "what the proxy costs, beside a bare relay");
 measure->add_option("--edge", bench.edge_program, "the mintrock-edge to measure");
 measure->add_option("--seconds", bench.seconds, "of each measurement")->check(CLI::Range(0.1, 600.0));
 measure->add_option("--rounds", bench.rounds, "of all measurements, in turns")->check(CLI::Range(1, 1000));
 measure->add_option("--outstanding", bench.outstanding, "calls at once")->check(CLI::Range(1, 100000));
+measure->add_option("--rate", bench.rate, "calls a second of the paired measurement of delays")
+    ->check(CLI::Range(0.0, 1e6));
 measure->add_option("--report", bench.report, "write the figures there, as JSON");
 measure->callback([&] {
   if (bench.edge_program.empty()) bench.edge_program = beside("mintrock-edge");
   status = lab::run_bench(bench);
 });
+CLI::App* restart =
+    app.add_subcommand("restart", "what a proxy just started refuses, beside an idle core server");
+restart->add_option("--edge", bench.edge_program, "the mintrock-edge to measure");
+restart->add_option("--seconds", bench.seconds, "of each start")->check(CLI::Range(0.1, 600.0));
+restart->add_option("--rounds", bench.rounds, "starts of each kind")->check(CLI::Range(1, 1000));
+restart->add_option("--burst", bench.outstanding, "calls at once")->check(CLI::Range(1, 100000));
+restart->callback([&] {
+  if (bench.edge_program.empty()) bench.edge_program = beside("mintrock-edge");
+  status = lab::run_restart(bench);
+});
 std::uint16_t port = 0, to = 0;
 CLI::App* bench_core = app.add_subcommand("bench-core", "a core server of `bench`")->group("");
 bench_core->add_option("--port", port)->required();
--- a/src/lab/parts.hpp
+++ b/src/lab/parts.hpp
@@ -36,6 +36,8 @@
   std::string scenario_file;
   std::string report;
   std::string trace_dir;
+  std::string plots;  // a folder for the pictures; empty: none
+  bool quiet = false;
   std::string edge_program;
   double slack_s = 0.02;  // as of check_traces
 };
--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -3,11 +3,13 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <stdexcept>
@@ -16,7 +18,9 @@
 #include "config/yaml.hpp"
 #include "lab/checker.hpp"
 #include "lab/line.hpp"
+#include "lab/live.hpp"
 #include "lab/parts.hpp"
+#include "lab/plot.hpp"
 #include "lab/process.hpp"
 #include "lab/trace.hpp"
 
@@ -27,7 +31,7 @@
 using nlohmann::json;
 
 constexpr double kStartUp = 1.5;  // s from the start of the parts to the script's beginning
-constexpr double kGrace = 15;     // s for a part to stop
+constexpr double kGrace = 25;     // s for a part to stop; the callers take up to 15 s for their last ends
 
 std::string yaml_time(double seconds) { return std::to_string(seconds) + "s"; }
 
@@ -96,6 +100,7 @@
     run_.epoch = net::monotonic_now() + kStartUp;
     run_.epoch_wall = net::wall_now() + kStartUp;
     save_run_file(run_, dir_);
+    if (!options_.quiet) live_ = std::make_unique<Live>(scenario_, dir_, run_.epoch, options_.slack_s);
     const pid_t list = part("list");
     const pid_t core = part("core");
     proxies_.resize(scenario_.proxies);
@@ -113,8 +118,9 @@
     for (const Event& event : scenario_.events) {
       const bool killed = event.kind == Event::Kind::kKillProxy;
       if (!killed && event.kind != Event::Kind::kTermProxy) continue;
-      steps.push_back(
-          {event.at_s, [this, &event, killed] { stop_proxy(event.target, killed ? SIGKILL : SIGTERM); }});
+      steps.push_back({event.at_s, [this, &event, killed] {
+                         stop_proxy(event.target, killed ? SIGKILL : SIGTERM, event.for_s);
+                       }});
       steps.push_back({event.at_s + event.for_s, [this, &event] {
                          wait_for(proxies_[event.target]);
                          start_proxy(event.target);
@@ -126,8 +132,9 @@
       step.act();
     }
     bool good = wait_for(call);
+    if (live_) live_->end();
     for (std::uint32_t i = 0; i < scenario_.proxies; ++i) {
-      if (alive_.count(proxies_[i]) != 0) stop_proxy(i, SIGTERM);
+      if (alive_.count(proxies_[i]) != 0) kill(proxies_[i], SIGTERM);
     }
     for (const pid_t pid : proxies_) good &= alive_.count(pid) == 0 || wait_for(pid);
     for (const pid_t pid : {list, core}) {
@@ -166,9 +173,10 @@
     proxies_[number] = pid;
   }
 
-  void stop_proxy(std::uint32_t number, int signal) {
+  void stop_proxy(std::uint32_t number, int signal, double for_s) {
     if (signal == SIGKILL) expected_.insert(proxies_[number]);
-    note(number, {{"event", "fault"}, {"kind", signal == SIGKILL ? "kill_proxy" : "term_proxy"}});
+    note(number,
+         {{"event", "fault"}, {"kind", signal == SIGKILL ? "kill_proxy" : "term_proxy"}, {"for", for_s}});
     kill(proxies_[number], signal);
   }
 
@@ -188,6 +196,7 @@
         alive_.erase(pid);
         return false;
       }
+      look();
       std::this_thread::sleep_for(std::chrono::milliseconds(5));
     }
     alive_.erase(pid);
@@ -196,9 +205,18 @@
     return good;
   }
 
-  static void sleep_until(double when) {
-    const double left = when - net::monotonic_now();
-    if (left > 0) std::this_thread::sleep_for(std::chrono::duration<double>(left));
+  void sleep_until(double when) {
+    constexpr double kLook = 0.1;  // s
+    for (double left = when - net::monotonic_now(); left > 0; left = when - net::monotonic_now()) {
+      std::this_thread::sleep_for(std::chrono::duration<double>(std::min(left, kLook)));
+      look();
+    }
+  }
+
+  void look() {
+    if (!live_) return;
+    trace_.flush();
+    live_->look(net::monotonic_now());
   }
 
   const RunOptions& options_;
@@ -206,6 +224,7 @@
   Scenario scenario_;
   RunFile run_;
   TraceWriter trace_;
+  std::unique_ptr<Live> live_;
   std::map<pid_t, std::string> alive_;
   std::set<pid_t> expected_;
   std::vector<pid_t> proxies_;
@@ -252,7 +271,11 @@
     report = runner.check();
   }
   std::fputs(report.table().c_str(), stdout);
-  if (!options.report.empty()) std::ofstream(options.report) << report.json() << "\n";
+  if (!options.report.empty()) {
+    if (const fs::path in = fs::path(options.report).parent_path(); !in.empty()) fs::create_directories(in);
+    std::ofstream(options.report) << report.json() << "\n";
+  }
+  if (!options.plots.empty()) write_plots(report, options.plots);
   const bool good = ended_well && report.good();
   if (own && good) {
     fs::remove_all(dir);
--- a/src/lab/trace.cpp
+++ b/src/lab/trace.cpp
@@ -20,16 +20,20 @@
 }
 
 void TraceWriter::write(const v1::Record& record) {
-  if (out_.is_open()) google::protobuf::util::SerializeDelimitedToOstream(record, &out_);
+  if (!out_.is_open()) return;
+  google::protobuf::util::SerializeDelimitedToOstream(record, &out_);
+  constexpr double kFlushEvery = 0.25;  // s; for those who read along
+  if (record.time() < flushed_ + kFlushEvery) return;
+  flushed_ = record.time();
+  out_.flush();
 }
 
-std::vector<v1::Record> read_trace(const std::string& path) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in) throw std::runtime_error(path + ": cannot be read");
-  std::ostringstream whole;
-  whole << in.rdbuf();
-  const std::string bytes = std::move(whole).str();
-  std::vector<v1::Record> out;
+namespace {
+
+// Appends the whole records at the start of `bytes`; how many bytes they are. `before`: where those begin in
+// the file.
+std::size_t parse_records(const std::string& bytes, const std::string& path, std::uint64_t before,
+                          std::vector<v1::Record>& out) {
   std::size_t at = 0;
   while (at < bytes.size()) {
     google::protobuf::io::CodedInputStream stream(
@@ -41,11 +45,36 @@
     if (begin + size > bytes.size()) break;
     v1::Record record;
     if (!record.ParseFromArray(bytes.data() + begin, static_cast<int>(size))) {
-      throw std::runtime_error(path + ": broken record at byte " + std::to_string(at));
+      throw std::runtime_error(path + ": broken record at byte " + std::to_string(before + at));
     }
     out.push_back(std::move(record));
     at = begin + size;
   }
+  return at;
+}
+
+}  // namespace
+
+std::vector<v1::Record> TraceTail::next() {
+  std::vector<v1::Record> out;
+  std::ifstream in(path_, std::ios::binary);
+  if (!in || !in.seekg(static_cast<std::streamoff>(at_ + rest_.size()))) return out;
+  std::ostringstream more;
+  more << in.rdbuf();
+  rest_ += std::move(more).str();
+  const std::size_t used = parse_records(rest_, path_, at_, out);
+  rest_.erase(0, used);
+  at_ += used;
+  return out;
+}
+
+std::vector<v1::Record> read_trace(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) throw std::runtime_error(path + ": cannot be read");
+  std::ostringstream whole;
+  whole << in.rdbuf();
+  std::vector<v1::Record> out;
+  parse_records(std::move(whole).str(), path, 0, out);
   return out;
 }
 
--- a/src/lab/trace.hpp
+++ b/src/lab/trace.hpp
@@ -2,9 +2,11 @@
 #ifndef MINTROCK_SRC_LAB_TRACE_HPP_
 #define MINTROCK_SRC_LAB_TRACE_HPP_
 
+#include <cstdint>
 #include <fstream>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "trace.pb.h"
@@ -21,6 +23,20 @@
 
  private:
   std::ofstream out_;
+  double flushed_ = 0;  // at the latest a quarter of a second after a write, if another follows
+};
+
+// Reads a trace while it is being written.
+class TraceTail {
+ public:
+  explicit TraceTail(std::string path) : path_(std::move(path)) {}
+  // The whole records that have come since; throws as read_trace does.
+  std::vector<v1::Record> next();
+
+ private:
+  std::string path_;
+  std::uint64_t at_ = 0;
+  std::string rest_;
 };
 
 // Reads a whole trace; throws std::runtime_error naming the file and the place if it is broken, but for a
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -201,7 +201,8 @@
   std::deque<Time> cuts;  // standing calls cut, lately
 
   std::deque<Time> sends;     // attempts, lately
-  std::deque<Time> answered;  // set-ups that stood or met a busy number, lately
+  std::deque<Time> answered;  // set-ups that it answered, lately: its traffic may grow
+  std::deque<Time> worked;    // of those, the ones that stood or met a busy number: a processor did them
   Average rate;               // of the same, a second
   double rounded = 0;  // while cold: added to this sender's part, then rounded down, in this fall window
   Time window_end = -kNever;
@@ -421,7 +422,7 @@
     if (now_ >= server.cold_until && !server.suspect) return true;
     const double share = kColdMargin * settings_.overload_factor;
     const double start = settings_.start_capacity * warm_rate(server) * settings_.fall_s;
-    double part = share * std::max(start, within(server.answered, settings_.fall_s));
+    double part = share * std::max(start, within(server.worked, settings_.fall_s));
     if (share * start < 1) part = std::min(1.0, kColdSparse * settings_.overload_factor) * start;
     part = std::max(part, 1.0 / std::max(1u, settings_.fleet_size));  // one of all senders may find out
     if (now_ >= server.window_end + settings_.fall_s) {               // begins, or begins again after a pause
@@ -564,17 +565,22 @@
     count_answer(server);
   }
 
-  void count_answer(Server& server) {
+  // Errors come at once from a server that does nothing: counted as work they would let a cold one be sent
+  // any number of set-ups.
+  void count_answer(Server& server, bool worked = true) {
+    const Time since = now_ - std::max(kAnswerWindow, settings_.fall_s);
+    if (worked) server.worked.push_back(now_);
+    while (!server.worked.empty() && server.worked.front() <= since) server.worked.pop_front();
     server.answered.push_back(now_);
     server.rate.count(now_);
-    while (server.answered.front() <= now_ - std::max(kAnswerWindow, settings_.fall_s))
-      server.answered.pop_front();
+    while (server.answered.front() <= since) server.answered.pop_front();
     server.strikes = 0;
   }
 
   void return_suspect(Server& server) {
     if (server.unreachable) server.cold_until = now_ + settings_.warm_up_s;
     server.answered = {now_};
+    server.worked = {now_};
     clear_suspicion(server);
   }
 
@@ -731,13 +737,13 @@
         } else if (e.cause == Cause::kUnfit || e.cause == Cause::kRejected) {
           // Whether the fault is the call's or the server's, another server's answer to it tells.
           const int before = server.strikes;
-          count_answer(server);
+          count_answer(server, false);
           server.strikes = before;
           if (e.cause == Cause::kRejected) server.rejects += kFaultGain * (1 - server.rejects);
         } else {
           server.faults += kFaultGain * (1 - server.faults);
           const int in_a_row = server.strikes + 1;
-          count_answer(server);
+          count_answer(server, false);
           server.strikes = in_a_row;
           if (in_a_row >= kFaultsToSuspect) suspect(server);
         }
@@ -851,6 +857,7 @@
     if (restarted) {
       server.wait = 0;
       server.answered.clear();
+      server.worked.clear();
       server.marked_until = -kNever;
       clear_suspicion(server);
     }
--- a/tests/controller_test.cpp
+++ b/tests/controller_test.cpp
@@ -438,6 +438,26 @@
   EXPECT_GT(last, 50);
 }
 
+// A bad day's cold core server answered every set-up with an error for three seconds, at once. What it
+// answered was taken for what it could do, and the set-ups sent then pushed it over.
+TEST(Rules, ErrorsProveNothingOfAColdServer) {
+  for (const Cause cause : {Cause::kNone, Cause::kUnfit, Cause::kRejected}) {
+    Bench b;
+    b.servers(1);
+    b.warm(10, 0, 0.05, 100);
+    b.list({b.entry(20, 0, b.now)});
+    int sent = 0;
+    for (CallId id = 1; id <= 400; ++id) {
+      if (b.sends(b.call(id, 0)) == 1) {
+        ++sent;
+        b.ended(id, 20, Outcome::kError, cause, 0, 0, true);
+      }
+      b.until(b.now + 0.01);
+    }
+    EXPECT_LE(sent, 60) << "0.3 x 20 a second x 4 s x 2, and what chance adds; a warm one would get all 400";
+  }
+}
+
 TEST(Rules, ARestartOfAKnownServerMakesItCold) {
   Bench b;
   b.servers(1);
--- a/tests/edge/config_test.cpp
+++ b/tests/edge/config_test.cpp
@@ -62,7 +62,7 @@
   EXPECT_EQ(fault(with("limts: {calls: 5}\n")), ":6: limts is not known; the nearest is limits");
   EXPECT_EQ(fault(with("core: {recconect: 1s}\n")),
             ":6: core.recconect is not known; the nearest is core.reconnect");
-  EXPECT_EQ(fault(with("core: {reconnect: 5}\n")), ":6: core.reconnect: '5' has no unit (ms, s, m, h)");
+  EXPECT_EQ(fault(with("core: {reconnect: 5}\n")), ":6: core.reconnect: '5' has no unit (us, ms, s, m, h)");
   EXPECT_EQ(fault(with("core: {watchdog_interval: 5s}\n")),
             ":6: core.watchdog_interval: 5s is not within 6s to 86400s");
   EXPECT_EQ(fault(with("core: {watchdog: maybe}\n")), ":6: core.watchdog: 'maybe' is neither true nor false");
@@ -83,6 +83,11 @@
   EXPECT_EQ(fault(text), ":5: classes[1].service_identifier: 1 names another class already");
 }
 
+TEST(EdgeConfig, TimesMayBeInMicroseconds) {
+  const File file(with("rules: {release_wait: 500us}\n"));
+  EXPECT_DOUBLE_EQ(load_config(file.path).settings.release_wait_s, 0.0005);
+}
+
 TEST(EdgeConfig, RealmsAndTheUnknownClassAreRead) {
   const File file(
       with("unknown_class: b\nrealms: [{realm: Guest.test, action: local}, "
--- a/tests/lab/checker_test.cpp
+++ b/tests/lab/checker_test.cpp
@@ -126,6 +126,15 @@
   EXPECT_EQ(s.broken(), "");
 }
 
+// Callers close their connections at the end of a run: that was taken for a reason of not being answered.
+TEST(Checker, AConnectionThatClosesAfterTheCallersPatienceExcusesNothing) {
+  Story s;
+  s.good_call("dock-0;1;1", 10);
+  s.caller(20, Story::ccr("dock-0;2;1", 1), true);
+  s.add(23.5, v1::Record::CLOSED, "dock-0.lab.test", "edge-0.lab.test", false);
+  EXPECT_EQ(s.broken(), "one answer");
+}
+
 TEST(Checker, TwoAnswersAreCaught) {
   Story s;
   s.good_call("dock-0;1;1", 10);
--- /dev/null
+++ b/tests/lab/live_test.cpp
@@ -0,0 +1,85 @@
+// What is shown of a run: the line while it goes on, and its course as figures and pictures.
+#include "lab/live.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+
+#include "lab/plot.hpp"
+
+namespace mintrock::lab {
+namespace {
+
+TEST(Live, ALineNamesCallsServiceMarginsAndTheFaultsOfTheMoment) {
+  Scenario s;
+  Event swallow;
+  swallow.kind = Event::Kind::kSwallow;
+  swallow.at_s = 10;
+  swallow.for_s = 5;
+  swallow.target = 2;
+  Event surge;
+  surge.at_s = 20;
+  surge.for_s = 5;
+  surge.factor = 1.5;
+  s.events = {swallow, surge};
+  Checker::Progress before, now;
+  before.stood = 50;
+  now.tries = 200;
+  now.stood = 80;
+  now.other = 10;
+  now.rules = {{"one answer", 1, 0, {}, 0.5, ""}, {"drains kept", 1, 3, {}, 1.2, ""}};
+  EXPECT_EQ(progress_line(s, 12, before, now),
+            "  12 s      200 calls   75.0% stand  answer 50% drain 120% BROKEN 3 | swallow 2");
+  EXPECT_NE(progress_line(s, 21, before, now).find("| surge x1.5"), std::string::npos);
+  EXPECT_EQ(progress_line(s, 16, before, now).find('|'), std::string::npos) << "over by then";
+}
+
+CheckReport two_seconds() {
+  CheckReport report;
+  report.seconds.push_back({0, 10, 8, 1, 1, 0, 0.01, 0.05, {{"a", 0.8}}});
+  report.seconds.push_back({1, 5, 5, 0, 0, 0, 0.02, 0.03, {{"a", 1}, {"b_c", 0.5}}});
+  report.faults.push_back({0.5, 1, "pause core-1"});
+  return report;
+}
+
+TEST(Plot, TheFiguresAreAColumnForEachClassAndARowForEachSecond) {
+  EXPECT_EQ(plot_data(two_seconds()),
+            "# second tries stood refused failed unanswered p50_ms p99_ms \"a\" \"b c\"\n"
+            "0 10 8 1 1 0 10 50 0.8 NaN\n"
+            "1 5 5 0 0 0 20 30 1 0.5\n");
+}
+
+TEST(Plot, EachFaultIsABandAndEachPictureItsOwnFile) {
+  const std::string script = plot_script(two_seconds(), "dir");
+  EXPECT_NE(script.find("rectangle from first 0.5"), std::string::npos);
+  EXPECT_NE(script.find("\"pause core-1\""), std::string::npos);
+  for (const char* name : {"'dir/rate.svg'", "'dir/service.svg'", "'dir/delay.svg'"})
+    EXPECT_NE(script.find(name), std::string::npos) << name;
+  EXPECT_NE(script.find("using 1:10 title \"b c\""), std::string::npos);
+}
+
+TEST(Trace, IsReadAlongWhileItIsWritten) {
+  const std::string path = std::string(::testing::TempDir()) + "tail-" + std::to_string(getpid());
+  TraceWriter writer(path);
+  TraceTail tail(path);
+  v1::Record record;
+  record.set_text(std::string(100, 'x'));
+  for (int i = 0; i < 3; ++i) writer.write(record);
+  writer.flush();
+  EXPECT_EQ(tail.next().size(), 3u);
+  EXPECT_TRUE(tail.next().empty());
+  {  // half a record, then its rest
+    std::ofstream out(path, std::ios::binary | std::ios::app);
+    std::string bytes;
+    record.SerializeToString(&bytes);
+    out << static_cast<char>(bytes.size()) << bytes.substr(0, 10) << std::flush;
+    EXPECT_TRUE(tail.next().empty());
+    out << bytes.substr(10) << std::flush;
+  }
+  EXPECT_EQ(tail.next().size(), 1u);
+  std::remove(path.c_str());
+}
+
+}  // namespace
+}  // namespace mintrock::lab
