Plain peers, Credit-Control's own AVPs, trust in kept lists as a pure module

Need: npm's diameter library, as caller and as core server, drops any message with an AVP outside its dictionary; set-ups with RFC 8506's own AVPs (Subscription-Id, say) were refused 5001 for their M bit.

Change: core.plain and callers.plain send nothing but AVPs of RFC 6733 and 8506 (a retry-after then stands in Error-Message); the AVPs of RFC 8506 are known and passed on. src/membership/trust: age, source, evidence to a degree of trust, an approach, and what the Controller is told; not yet wired.

--- a/src/diameter/dictionary.hpp
+++ b/src/diameter/dictionary.hpp
@@ -64,6 +64,37 @@
 inline constexpr AvpDef kCcRequestType{416, 0, T::kEnumerated, true, "CC-Request-Type", 1, 4};
 inline constexpr AvpDef kServiceIdentifier{439, 0, T::kUnsigned32, true, "Service-Identifier"};
 inline constexpr AvpDef kServiceContextId{461, 0, T::kText, true, "Service-Context-Id"};
+// Passed on as they come; known so that their M bit is no fault. RFC 6733 section 4.5, RFC 7155 section 4,
+// RFC 8506 section 8. What stands inside groups is not looked into: kOctets.
+inline constexpr AvpDef kUserName{1, 0, T::kText, true, "User-Name"};
+inline constexpr AvpDef kClass{25, 0, T::kOctets, true, "Class"};
+inline constexpr AvpDef kCallingStationId{31, 0, T::kText, true, "Calling-Station-Id"};
+inline constexpr AvpDef kEventTimestamp{55, 0, T::kOctets, true, "Event-Timestamp"};
+inline constexpr AvpDef kMultiSessionId{50, 0, T::kText, true, "Acct-Multi-Session-Id"};
+inline constexpr AvpDef kCorrelationId{411, 0, T::kOctets, true, "CC-Correlation-Id"};
+inline constexpr AvpDef kInputOctets{412, 0, T::kUnsigned64, true, "CC-Input-Octets"};
+inline constexpr AvpDef kMoney{413, 0, T::kOctets, true, "CC-Money"};
+inline constexpr AvpDef kOutputOctets{414, 0, T::kUnsigned64, true, "CC-Output-Octets"};
+inline constexpr AvpDef kSessionFailover{418, 0, T::kEnumerated, true, "CC-Session-Failover"};
+inline constexpr AvpDef kSubSessionId{419, 0, T::kUnsigned64, true, "CC-Sub-Session-Id"};
+inline constexpr AvpDef kCcTime{420, 0, T::kUnsigned32, true, "CC-Time"};
+inline constexpr AvpDef kTotalOctets{421, 0, T::kUnsigned64, true, "CC-Total-Octets"};
+inline constexpr AvpDef kCheckBalance{422, 0, T::kEnumerated, true, "Check-Balance-Result"};
+inline constexpr AvpDef kCostInformation{423, 0, T::kOctets, true, "Cost-Information"};
+inline constexpr AvpDef kFailureHandling{427, 0, T::kEnumerated, true, "Credit-Control-Failure-Handling"};
+inline constexpr AvpDef kDirectDebiting{428, 0, T::kEnumerated, true, "Direct-Debiting-Failure-Handling"};
+inline constexpr AvpDef kFinalUnit{430, 0, T::kOctets, true, "Final-Unit-Indication"};
+inline constexpr AvpDef kGrantedUnit{431, 0, T::kOctets, true, "Granted-Service-Unit"};
+inline constexpr AvpDef kRatingGroup{432, 0, T::kUnsigned32, true, "Rating-Group"};
+inline constexpr AvpDef kRequestedAction{436, 0, T::kEnumerated, true, "Requested-Action"};
+inline constexpr AvpDef kRequestedUnit{437, 0, T::kOctets, true, "Requested-Service-Unit"};
+inline constexpr AvpDef kParameterInfo{440, 0, T::kOctets, true, "Service-Parameter-Info"};
+inline constexpr AvpDef kSubscriptionId{443, 0, T::kOctets, true, "Subscription-Id"};
+inline constexpr AvpDef kUsedUnit{446, 0, T::kOctets, true, "Used-Service-Unit"};
+inline constexpr AvpDef kValidityTime{448, 0, T::kUnsigned32, true, "Validity-Time"};
+inline constexpr AvpDef kMultipleIndicator{455, 0, T::kEnumerated, true, "Multiple-Services-Indicator"};
+inline constexpr AvpDef kMultipleServices{456, 0, T::kOctets, true, "Multiple-Services-Credit-Control"};
+inline constexpr AvpDef kUserEquipment{458, 0, T::kOctets, true, "User-Equipment-Info"};
 // RFC 8583 section 6, and RFC 8581 for SourceID
 inline constexpr AvpDef kSourceId{649, 0, T::kIdentity, false, "SourceID"};
 inline constexpr AvpDef kLoad{650, 0, T::kGrouped, false, "Load"};
--- a/src/edge/config.cpp
+++ b/src/edge/config.cpp
@@ -96,6 +96,7 @@
     read_address(from, "admin", out.node.admin, true);
   });
   top.section("core", [&](config::Section& from) {
+    from.read("plain", out.core.plain);
     from.read("watchdog", out.core.watchdog);
     from.read_time("watchdog_interval", out.core.watchdog_s, 6, kDay);  // RFC 3539 3.4.1: not under 6 s
     from.read_time("reconnect", out.core.reconnect_s, 0.01, kDay);
@@ -106,6 +107,7 @@
   });
   top.section("callers", [&](config::Section& from) {
     from.read_list("peers", out.callers.peers);
+    from.read("plain", out.callers.plain);
     from.read_time("watchdog_interval", out.callers.watchdog_s, 6, kDay);
     from.read_time("cer_timeout", out.callers.cer_s, 0.01, 60);
     from.read_time("session_hold", out.callers.session_hold_s, 0, kDay);
@@ -178,10 +180,10 @@
   };
   fixed("node", a.node.identity == b.node.identity && a.node.realm == b.node.realm &&
                     a.node.listen == b.node.listen && a.node.admin == b.node.admin);
-  fixed("core", a.core.watchdog == b.core.watchdog && a.core.watchdog_s == b.core.watchdog_s &&
-                    a.core.reconnect_s == b.core.reconnect_s && a.core.connect_s == b.core.connect_s &&
-                    a.core.session_hold_s == b.core.session_hold_s && a.core.linger_s == b.core.linger_s &&
-                    a.core.max_unsent == b.core.max_unsent);
+  fixed("core", a.core.plain == b.core.plain && a.core.watchdog == b.core.watchdog &&
+                    a.core.watchdog_s == b.core.watchdog_s && a.core.reconnect_s == b.core.reconnect_s &&
+                    a.core.connect_s == b.core.connect_s && a.core.session_hold_s == b.core.session_hold_s &&
+                    a.core.linger_s == b.core.linger_s && a.core.max_unsent == b.core.max_unsent);
   fixed("realms", a.realms == b.realms && a.other_realms == b.other_realms);
   fixed("unknown_class", a.classes.unknown == b.classes.unknown);
   fixed("callers", a.callers.end_wait_s == b.callers.end_wait_s &&
--- a/src/edge/config.hpp
+++ b/src/edge/config.hpp
@@ -24,6 +24,7 @@
   } node;
 
   struct Core {
+    bool plain = false;         // send no AVPs but those of RFC 6733 and RFC 8506
     bool watchdog = false;      // send watchdog requests to core servers (theirs are always answered)
     double watchdog_s = 30;     // Tw
     double reconnect_s = 1;     // Tc
@@ -35,6 +36,7 @@
 
   struct Callers {
     std::vector<std::string> peers;  // Origin-Hosts; empty: any
+    bool plain = false;              // the same toward callers: a retry-after then stands in Error-Message
     double watchdog_s = 30;          // Tw
     double cer_s = 5;                // for the CER of a new connection
     double session_hold_s = 10;      // standing calls outlive their caller's connection for so long
--- a/src/edge/core_side.cpp
+++ b/src/edge/core_side.cpp
@@ -125,7 +125,8 @@
 
 void CoreSide::transmit(Server& server, CoreSessions::Attempt who, double give_up_after_s, RecordPtr record) {
   const std::uint32_t hop = server.link->peer().next_hop_by_hop();
-  server.link->send(write_setup(*record, server.entry.identity, hop, who.attempt > 0, give_up_after_s));
+  server.link->send(
+      write_setup(*record, server.entry.identity, hop, who.attempt > 0, give_up_after_s, config_.core.plain));
   server.sessions.sent_setup(who, std::move(record), hop);
 }
 
--- a/src/edge/credit_control.cpp
+++ b/src/edge/credit_control.cpp
@@ -104,16 +104,18 @@
 }
 
 std::string write_setup(const CallRecord& call, const std::string& server, std::uint32_t hop_by_hop,
-                        bool repeated, double give_up_after_s) {
+                        bool repeated, double give_up_after_s, bool plain) {
   Header header = request_header(diameter::kCreditControl, hop_by_hop, call.end_to_end);
   if (repeated) header.flags |= diameter::kRetransmitted;
   Builder out(header);
   write_common(out, call, server, diameter::kInitial, call.request_number);
   if (!call.called.empty()) out.text(avp::kCalledStationId, call.called);
   if (call.service_identifier) out.u32(avp::kServiceIdentifier, *call.service_identifier);
-  out.u32(avp::kMaximumWaitTime, milliseconds(give_up_after_s));
-  if (call.lines != 1) out.u32(avp::kLinesRequired, call.lines);
-  if (call.redial != 0) out.u32(avp::kRedialIndicator, call.redial);
+  if (!plain) {
+    out.u32(avp::kMaximumWaitTime, milliseconds(give_up_after_s));
+    if (call.lines != 1) out.u32(avp::kLinesRequired, call.lines);
+    if (call.redial != 0) out.u32(avp::kRedialIndicator, call.redial);
+  }
   out.raw(call.passed_on).text(avp::kRouteRecord, call.from_peer);
   return out.finish();
 }
--- a/src/edge/credit_control.hpp
+++ b/src/edge/credit_control.hpp
@@ -44,9 +44,10 @@
 std::uint32_t request_type(const diameter::MessageView& message);  // CC-Request-Type; 0: none
 std::string session_of(const diameter::MessageView& message);      // Session-Id; empty: none
 
-// A set-up toward a core server.
+// A set-up toward a core server. `plain`: only AVPs of RFC 6733 and RFC 8506, for one that can't pass over
+// others.
 std::string write_setup(const CallRecord& call, const std::string& server, std::uint32_t hop_by_hop,
-                        bool repeated, double give_up_after_s);
+                        bool repeated, double give_up_after_s, bool plain = false);
 
 // The end of a call, or of an attempt, toward a core server: CCR TERMINATION.
 std::string write_termination(const CallRecord& call, const std::string& server, std::uint32_t hop_by_hop,
--- a/src/edge/diameter_front.cpp
+++ b/src/edge/diameter_front.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace mintrock::edge {
@@ -371,6 +372,10 @@
       answer.text = verdict.why;
       break;
   }
+  if (config_.callers.plain && answer.retry_after_s > 0) {
+    answer.text += "; come back after " + std::to_string(std::lround(answer.retry_after_s * 1000)) + " ms";
+    answer.retry_after_s = 0;
+  }
   std::string bytes = write_setup_answer(*open.record, answer);
   duplicates_.answered(open.record->origin_host, open.record->end_to_end, bytes);
   open.caller->link->send(std::move(bytes));
--- a/src/lab/bench.cpp
+++ b/src/lab/bench.cpp
@@ -347,7 +347,6 @@
         tries += out.tries;
         refused += out.refused;
         if (!out.delays.empty()) longest = std::max(longest, out.delays.back());
-        proxy.stop();
       }
       std::printf("%8.0f %8u | %9llu %9llu %7.3f%% | %8.0f\n", rate, burst,
                   static_cast<unsigned long long>(tries), static_cast<unsigned long long>(refused),
--- /dev/null
+++ b/src/membership/trust.cpp
@@ -0,0 +1,89 @@
+#include "membership/trust.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+namespace mintrock::membership {
+namespace {
+
+constexpr double kLeastWeight = 0.01;  // of the kept one: a server that nobody draws proves nothing
+constexpr double kVeryOld = 1e9;       // s
+
+std::string age_text(double seconds) {
+  char text[40];
+  if (seconds < 120) {
+    std::snprintf(text, sizeof text, "%.0f s", seconds);
+  } else if (seconds < 7200) {
+    std::snprintf(text, sizeof text, "%.0f min", seconds / 60);
+  } else if (seconds < kVeryOld) {
+    std::snprintf(text, sizeof text, "%.0f h", seconds / 3600);
+  } else {
+    return "an unknown time";
+  }
+  return text;
+}
+
+const char* source_text(Source source) {
+  switch (source) {
+    case Source::kList:
+      return "the list";
+    case Source::kPeer:
+      return "a peer";
+    case Source::kOwnAnswers:
+      return "its own answers";
+  }
+  return "?";
+}
+
+double halved(double age_s, double half_life_s) {
+  return std::exp2(-std::clamp(age_s, 0.0, kVeryOld) / std::max(half_life_s, 1e-3));
+}
+
+}  // namespace
+
+Trust judge(const TrustSettings& settings, const Evidence& evidence) {
+  const double age = std::isnan(evidence.confirmed_age_s) || evidence.clock_doubtful
+                         ? kVeryOld
+                         : std::max(0.0, evidence.confirmed_age_s);
+  double degree = halved(age, settings.half_life_s);
+  if (evidence.source == Source::kPeer) degree *= settings.peer_share;
+  // Answers bring trust toward whole, however old the list; an answer fades as a confirmation does.
+  if (evidence.answers > 0) {
+    const double proven = (1 - std::pow(1 - settings.answer_gain, evidence.answers)) *
+                          halved(evidence.answered_age_s, settings.half_life_s);
+    degree += (1 - degree) * proven;
+  }
+  degree *= std::pow(settings.refused_share, evidence.refusals);
+  Trust out;
+  out.degree = std::clamp(degree, 0.0, 1.0);
+  out.approach = out.degree >= settings.warm_at ? Approach::kAsKept
+                 : out.degree >= settings.least ? Approach::kGently
+                                                : Approach::kLast;
+  out.first_choice = out.degree >= settings.first_choice_at;
+  out.why = "confirmed by " + std::string(source_text(evidence.source)) + " " + age_text(age) + " ago";
+  if (evidence.clock_doubtful) out.why += ", the clock jumped";
+  if (evidence.answers > 0) out.why += ", answered " + std::to_string(evidence.answers) + " times";
+  if (evidence.refusals > 0) out.why += ", refused " + std::to_string(evidence.refusals) + " times";
+  return out;
+}
+
+std::vector<ServerEntry> tell(const std::vector<Kept>& kept, Time now) {
+  const bool better = std::any_of(kept.begin(), kept.end(), [](const Kept& each) {
+    return each.entry.state == ServerEntry::State::kReady && each.trust.approach != Approach::kLast;
+  });
+  std::vector<ServerEntry> out;
+  out.reserve(kept.size());
+  for (const Kept& each : kept) {
+    ServerEntry entry = each.entry;
+    if (entry.state == ServerEntry::State::kReady) {
+      if (each.trust.approach == Approach::kLast && better) continue;
+      if (each.trust.approach != Approach::kAsKept) entry.since = std::max(entry.since, now);
+      entry.weight *= std::max(kLeastWeight, each.trust.degree);
+    }
+    out.push_back(entry);
+  }
+  return out;
+}
+
+}  // namespace mintrock::membership
--- /dev/null
+++ b/src/membership/trust.hpp
@@ -0,0 +1,72 @@
+// How far a kept entry of the pool list is believed while no fresh list can be had, and how gently its server
+// is approached.
+//
+// Pure: ages, sources and evidence in, a degree of trust and what follows from it out; no clock, no I/O.
+// docs/membership.md weighs the options and has the table. What follows is told to the Controller as an entry
+// of a cached list (ServerList::kCached): it still decides each call. An entry that is little believed is
+// told as just started, so that rule four's budget for cold servers holds it, summed over all proxies that
+// start at once; it grows as the server answers, since what it answers proves what it can do.
+#ifndef MINTROCK_SRC_MEMBERSHIP_TRUST_HPP_
+#define MINTROCK_SRC_MEMBERSHIP_TRUST_HPP_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "mintrock/controller.hpp"
+
+namespace mintrock::membership {
+
+// Who confirmed an entry last.
+enum class Source { kList, kPeer, kOwnAnswers };
+
+struct TrustSettings {
+  double half_life_s = 600;  // trust halves with each such time since the entry was last confirmed; over 0
+  double first_choice_at = 0.5;  // from this trust on an entry may be a first choice; 0 to 1
+  double warm_at = 0.9;          // from this trust on it is told as it was kept, below as just started
+  double least = 1e-4;           // below, an entry is too old: used only where no other is left
+  double peer_share = 0.8;       // a peer's word counts for so much of the list's own; 0 to 1
+  double refused_share = 0.5;    // trust is multiplied by this with each refused or failed connection
+  double answer_gain = 0.3;      // share of the way to full trust that an answer brings
+};
+
+// What is known of one entry.
+struct Evidence {
+  double confirmed_age_s = 0;  // since the last confirmation; below 0 is taken for 0, no number for very old
+  Source source = Source::kList;
+  bool clock_doubtful = false;   // the wall clock jumped while the proxy was down: the age may be anything
+  std::uint32_t answers = 0;     // of this server to this proxy, since this start
+  std::uint32_t refusals = 0;    // connections refused or lost since this start, after the last answer
+  double answered_age_s = 1e18;  // since the last of those answers
+};
+
+enum class Approach {
+  kAsKept,  // believed: as the list had it
+  kGently,  // told as just started: the cold budget, single trials first
+  kLast,    // the same, and only where no other entry is left
+};
+
+struct Trust {
+  double degree = 0;  // 0 to 1
+  Approach approach = Approach::kLast;
+  bool first_choice = false;
+  std::string why;  // one line, for operators
+};
+
+// Degree and consequences for one entry.
+Trust judge(const TrustSettings& settings, const Evidence& evidence);
+
+// A kept entry as the Controller is to be told of it.
+struct Kept {
+  ServerEntry entry;
+  Trust trust;
+};
+// The whole list, as of `now` on the Controller's clock: entries that are drained or gone stay so, whatever
+// their age (a drain is never undone by a kept list); those too old are left out while any other is ready;
+// weights are scaled by trust, so that the better known servers are drawn more often; those approached gently
+// are told as started now.
+std::vector<ServerEntry> tell(const std::vector<Kept>& kept, Time now);
+
+}  // namespace mintrock::membership
+
+#endif  // MINTROCK_SRC_MEMBERSHIP_TRUST_HPP_
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -606,6 +606,51 @@
   EXPECT_EQ(caller.results["s"][0], 3007u);
 }
 
+// A foreign core server, and a foreign caller, took an AVP that they didn't know for a broken message, though
+// it had no M bit.
+TEST_F(Rig, PlainPeersAreSentNothingButTheRfcsAvps) {
+  start([](Config& c) { c.core.plain = c.callers.plain = true; });
+  connect();
+  const auto foreign = [](const MessageView& view) {
+    int count = 0;
+    for (const auto& each : view.avps) count += each.vendor != 0;
+    return count;
+  };
+  int seen = -1;
+  core.on_setup = [&](Line& line, const MessageView& view) {
+    seen = foreign(view);
+    Builder b(diameter::answer_header(view.header, true));
+    b.raw(view.find(avp::kSessionId.code)->whole).u32(avp::kResultCode, diameter::kTooBusy);
+    b.text(avp::kOriginHost, core.host).text(avp::kOriginRealm, "test");
+    line.send(b.finish());
+  };
+  caller.ccr("s", 1, 1);
+  wait([&] { return caller.answers.count("s") == 1; }, "an answer");
+  EXPECT_EQ(seen, 0);
+  MessageView view;
+  ASSERT_FALSE(diameter::decode(caller.answers["s"], view));
+  EXPECT_EQ(foreign(view), 0);
+  EXPECT_NE(view.find(avp::kErrorMessage.code)->data.find("come back after"), std::string::npos);
+}
+
+// RFC 8506's own AVPs carry the M bit; a set-up with them was refused with 5001.
+TEST_F(Rig, AvpsOfCreditControlArePassedOn) {
+  start();
+  connect();
+  Builder extra{Header{}};
+  extra.text(avp::kSubscriptionId, "whatever stands inside").u32(avp::kValidityTime, 60);
+  bool passed = false;
+  core.on_setup = [&](Line& line, const MessageView& view) {
+    const auto* found = view.find(avp::kSubscriptionId.code);
+    passed = found != nullptr && found->data == "whatever stands inside";
+    core.success(line, view);
+  };
+  caller.ccr("s", 1, 1, extra.finish().substr(20));
+  wait([&] { return caller.results["s"].size() == 1; }, "an answer");
+  EXPECT_EQ(caller.results["s"][0], diameter::kSuccess);
+  EXPECT_TRUE(passed);
+}
+
 TEST_F(Rig, AnotherRealmsRequestIs3003) {
   start([](Config& c) { c.realms["guest.test"] = Realms::Action::kLocal; });
   connect();
--- /dev/null
+++ b/tests/membership/trust_test.cpp
@@ -0,0 +1,115 @@
+// Trust in kept entries: ages, sources, evidence; and what the Controller is told.
+#include "membership/trust.hpp"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+
+namespace mintrock::membership {
+namespace {
+
+constexpr double kMinute = 60, kHour = 3600, kDay = 86400;
+
+Evidence aged(double age) {
+  Evidence out;
+  out.confirmed_age_s = age;
+  return out;
+}
+
+TEST(Trust, FallsWithAgeAndChangesTheApproachOnTheWay) {
+  const TrustSettings s;
+  const Trust minute = judge(s, aged(kMinute));
+  EXPECT_EQ(minute.approach, Approach::kAsKept);
+  EXPECT_TRUE(minute.first_choice);
+  const Trust hour = judge(s, aged(kHour));
+  EXPECT_EQ(hour.approach, Approach::kGently);
+  EXPECT_FALSE(hour.first_choice);
+  const Trust day = judge(s, aged(kDay));
+  EXPECT_EQ(day.approach, Approach::kLast);
+  EXPECT_GT(minute.degree, hour.degree);
+  EXPECT_GT(hour.degree, day.degree);
+  double before = 2;
+  for (double age = 0; age < 2 * kDay; age += 97) {
+    const double degree = judge(s, aged(age)).degree;
+    EXPECT_LE(degree, before) << age;
+    before = degree;
+  }
+}
+
+TEST(Trust, NonsenseIsVeryOldAndAnEarlierNowIsNoAge) {
+  const TrustSettings s;
+  EXPECT_EQ(judge(s, aged(std::numeric_limits<double>::quiet_NaN())).approach, Approach::kLast);
+  EXPECT_EQ(judge(s, aged(std::numeric_limits<double>::infinity())).approach, Approach::kLast);
+  EXPECT_EQ(judge(s, aged(-kDay)).degree, 1);
+}
+
+// The clock set back a day would make a day-old list look fresh.
+TEST(Trust, AClockThatJumpedMakesEveryAgeUnknown) {
+  Evidence e = aged(1);
+  e.clock_doubtful = true;
+  EXPECT_EQ(judge(TrustSettings(), e).approach, Approach::kLast);
+  EXPECT_NE(judge(TrustSettings(), e).why.find("clock"), std::string::npos);
+}
+
+TEST(Trust, GrowsWithAnswersAndFallsWithRefusals) {
+  const TrustSettings s;
+  Evidence e = aged(kDay);
+  double before = judge(s, e).degree;
+  e.answered_age_s = 0;
+  for (e.answers = 1; e.answers <= 10; ++e.answers) {
+    const double degree = judge(s, e).degree;
+    EXPECT_GT(degree, before);
+    before = degree;
+  }
+  EXPECT_EQ(judge(s, e).approach, Approach::kAsKept) << "what answers is there, however old the list";
+  e.refusals = 2;
+  EXPECT_LT(judge(s, e).degree, before / 3);
+  e.refusals = 0;
+  e.answered_age_s = kDay;
+  EXPECT_EQ(judge(s, e).approach, Approach::kLast)
+      << "an answer of yesterday is as old as a list of yesterday";
+}
+
+TEST(Trust, APeersWordIsLessThanTheLists) {
+  Evidence e = aged(0);
+  e.source = Source::kPeer;
+  EXPECT_LT(judge(TrustSettings(), e).degree, judge(TrustSettings(), aged(0)).degree);
+}
+
+ServerEntry entry(ServerId id, ServerEntry::State state = ServerEntry::State::kReady) {
+  ServerEntry out;
+  out.id = id;
+  out.state = state;
+  return out;
+}
+Kept kept(ServerId id, double age, ServerEntry::State state = ServerEntry::State::kReady) {
+  return {entry(id, state), judge(TrustSettings(), aged(age))};
+}
+
+TEST(Telling, ABelievedEntryIsAsItWasAnOlderOneAsJustStarted) {
+  const auto out = tell({kept(1, 10), kept(2, kHour)}, 500);
+  ASSERT_EQ(out.size(), 2u);
+  EXPECT_EQ(out[0].since, 0);
+  EXPECT_EQ(out[1].since, 500);
+  EXPECT_LT(out[1].weight, out[0].weight);
+}
+
+TEST(Telling, OneThatIsTooOldIsLeftOutUnlessNoOtherIsReady) {
+  EXPECT_EQ(tell({kept(1, kHour), kept(2, kDay)}, 0).size(), 1u);
+  const auto alone = tell({kept(1, kHour, ServerEntry::State::kDraining), kept(2, kDay)}, 7);
+  ASSERT_EQ(alone.size(), 2u);
+  EXPECT_EQ(alone[1].since, 7) << "and then gently";
+  EXPECT_GT(alone[1].weight, 0);
+}
+
+// A kept drain must not be undone by its age.
+TEST(Telling, ADrainStaysADrainWhateverItsAge) {
+  for (const double age : {0.0, kHour, kDay}) {
+    const auto out = tell({kept(1, 0), kept(2, age, ServerEntry::State::kDraining)}, 0);
+    ASSERT_EQ(out.size(), 2u);
+    EXPECT_EQ(out[1].state, ServerEntry::State::kDraining);
+  }
+}
+
+}  // namespace
+}  // namespace mintrock::membership
