A start without the pool list goes by the kept one, gently by its age

Change: list.store keeps each accepted change on a thread of its own (src/membership/keeper), confirms it every 30 s while the list is connected, and at start tells the Controller the kept entries by trust: believed ones as they were, older ones as just started under the cold budget with weights scaled, too old ones only where no other is ready. Ages go by the monotonic clock within one boot, else by the wall clock unless it went back. An unusable store is named, and the proxy starts without.

--- a/src/edge/config.cpp
+++ b/src/edge/config.cpp
@@ -122,6 +122,11 @@
     read_address(from, "server", out.list.server, true);
     from.read("path", out.list.path);
     from.read("cache_file", out.list.cache_file);
+    from.read("store", out.list.store);
+    std::size_t durability = 0;
+    from.read_choice("store_survives", {"power_cut", "process_crash"}, durability);
+    out.list.store_power_cut = durability == 0;
+    from.read_time("trust_half_life", out.list.trust.half_life_s, 1, 100 * kDay);
     from.read_time("reconnect", out.list.reconnect_s, 0.01, kDay);
     from.read_time("idle", out.list.idle_s, 0.1, kDay);
   });
@@ -192,8 +197,10 @@
   fixed("limits.message_bytes", a.max_message == b.max_message);
   fixed("seed", a.seed == b.seed);
   fixed("list", a.list.server == b.list.server && a.list.path == b.list.path &&
-                    a.list.cache_file == b.list.cache_file && a.list.reconnect_s == b.list.reconnect_s &&
-                    a.list.idle_s == b.list.idle_s);
+                    a.list.cache_file == b.list.cache_file && a.list.store == b.list.store &&
+                    a.list.store_power_cut == b.list.store_power_cut &&
+                    a.list.trust.half_life_s == b.list.trust.half_life_s &&
+                    a.list.reconnect_s == b.list.reconnect_s && a.list.idle_s == b.list.idle_s);
   fixed("fleet", a.settings.fleet_size == b.settings.fleet_size && a.fleet.peers == b.fleet.peers &&
                      a.settings.own_number == b.settings.own_number && a.fleet.listen == b.fleet.listen);
   fixed("log.file", a.log.file == b.log.file);
--- a/src/edge/config.hpp
+++ b/src/edge/config.hpp
@@ -10,6 +10,7 @@
 #include "config/yaml.hpp"
 #include "diameter/peer.hpp"
 #include "edge/request_routing.hpp"
+#include "membership/trust.hpp"
 #include "mintrock/controller.hpp"
 #include "net/loop.hpp"
 
@@ -50,7 +51,10 @@
   struct List {
     net::Address server;
     std::string path = "/list";
-    std::string cache_file;  // empty: none
+    std::string cache_file;       // empty: none
+    std::string store;            // SQLite; empty: none
+    bool store_power_cut = true;  // each change is on the disk when it counts as kept
+    membership::TrustSettings trust;
     double reconnect_s = 1;
     double idle_s = 30;
   } list;
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -127,6 +127,7 @@
 Edge::~Edge() {
   loop_.timers().cancel(desk_timer_);
   loop_.timers().cancel(drain_timer_);
+  loop_.timers().cancel(confirm_timer_);
 }
 
 void Edge::start() {
@@ -155,7 +156,7 @@
                                desk_.list(failed, loop_.now());
                                watch_desk();
                              }});
-  load_cached_list();
+  if (!load_kept_list()) load_cached_list();
   desk_.start(loop_.now());
   watch_desk();
   log_event(
@@ -343,9 +344,134 @@
       now);
   for (const auto& [id, entry] : book_.entries()) core_.update(id, entry);
   watch_desk();
+  keep_list(news);
   save_list();
 }
 
+// ---- The kept list ----
+
+namespace {
+
+membership::Moment moment(double monotonic) {
+  static const std::string kBoot = [] {  // read once: it can't change while this process lives
+    std::ifstream in("/proc/sys/kernel/random/boot_id");
+    std::string boot;
+    std::getline(in, boot);
+    return boot;
+  }();
+  return {net::wall_now(), monotonic, kBoot};
+}
+
+membership::KeptEntry kept_entry(const list::Entry& entry, double wall) {
+  membership::KeptEntry out;
+  out.identity = entry.identity;
+  out.address = entry.address;
+  out.node = entry.node;
+  out.kind = entry.kind;
+  out.weight = entry.weight;
+  out.state = entry.state;
+  out.started_at = entry.started_at;
+  out.first_confirmed = out.last_confirmed = wall;
+  return out;
+}
+
+}  // namespace
+
+bool Edge::load_kept_list() {
+  if (config_.list.store.empty()) return false;
+  try {
+    keeper_ = std::make_unique<membership::Keeper>(
+        config_.list.store,
+        config_.list.store_power_cut ? membership::Store::Durability::kPowerCut
+                                     : membership::Store::Durability::kProcessCrash,
+        [this](const std::string& what) {
+          const std::lock_guard<std::mutex> lock(store_faults_mutex_);
+          store_faults_.push_back(what);
+        });
+  } catch (const std::exception& error) {
+    // Without it the proxy starts as one that has no store: from the list, once it comes.
+    log_event(err, "list_store_unusable", {{"detail", error.what()}});
+    return false;
+  }
+  tell_store_faults();
+  confirm_list();
+  const membership::Loaded& loaded = keeper_->loaded();
+  if (loaded.entries.empty()) return false;
+  const double now = loop_.now();
+  const membership::Moment here = moment(now);
+  const membership::Moment then{loaded.wall, loaded.monotonic, loaded.boot};
+  list::News news;  // revision 0: whatever comes next is news, the list may have begun anew
+  for (const membership::KeptEntry& each : loaded.entries) {
+    news.entries.push_back(
+        {each.identity, each.address, each.node, each.kind, each.weight, each.state, each.started_at});
+  }
+  book_.take(news);
+  ServerList told = book_.event(news, ServerList::Mode::kCached, now, here.wall);
+  std::vector<membership::Kept> kept;
+  for (std::size_t i = 0; i < loaded.entries.size(); ++i) {
+    const membership::Age age = membership::age_of(loaded.entries[i].last_confirmed, then, here);
+    membership::Evidence evidence;
+    evidence.confirmed_age_s = age.seconds;
+    evidence.clock_doubtful = age.doubtful || !loaded.whole;  // what was damaged may have been the age
+    evidence.source = loaded.entries[i].source;
+    const auto entry = std::find_if(told.entries.begin(), told.entries.end(), [&](const ServerEntry& each) {
+      return each.id == book_.number(loaded.entries[i].identity);
+    });
+    if (entry == told.entries.end()) continue;
+    kept.push_back({*entry, membership::judge(config_.list.trust, evidence)});
+    log_event(info, "list_kept",
+              {{"peer", loaded.entries[i].identity},
+               {"trust", std::to_string(kept.back().trust.degree)},
+               {"detail", kept.back().trust.why}});
+  }
+  told.entries = membership::tell(kept, now);
+  desk_.list(told, now);
+  for (const ServerEntry& each : told.entries) core_.update(each.id, *book_.find(each.id));
+  return true;
+}
+
+void Edge::keep_list(const list::News& news) {
+  if (!keeper_) return;
+  const membership::Moment here = moment(loop_.now());
+  membership::Change change;
+  change.revision = news.revision;
+  change.wall = here.wall;
+  change.monotonic = here.monotonic;
+  change.boot = here.boot;
+  change.full = news.full;
+  for (const list::Entry& each : news.entries) {
+    if (each.state == ServerEntry::State::kGone) {
+      change.removed.push_back(each.identity);
+    } else {
+      change.entries.push_back(kept_entry(each, here.wall));
+    }
+  }
+  keeper_->keep(std::move(change));
+}
+
+// A list that is connected and silent is confirmed all the same: its entries don't age meanwhile.
+void Edge::confirm_list() {
+  constexpr double kConfirmEvery = 30;  // s; a kept list seems older by this at most
+  confirm_timer_ = loop_.after(kConfirmEvery, [this] {
+    tell_store_faults();
+    if (list_fresh_) {
+      list::News all = book_.snapshot();
+      all.full = true;
+      keep_list(all);
+    }
+    confirm_list();
+  });
+}
+
+void Edge::tell_store_faults() {
+  std::vector<std::string> faults;
+  {
+    const std::lock_guard<std::mutex> lock(store_faults_mutex_);
+    faults.swap(store_faults_);
+  }
+  for (const std::string& each : faults) log_event(err, "list_store_fault", {{"detail", each}});
+}
+
 void Edge::load_cached_list() {
   if (config_.list.cache_file.empty()) return;
   std::ifstream in(config_.list.cache_file);
--- a/src/edge/edge.hpp
+++ b/src/edge/edge.hpp
@@ -5,6 +5,7 @@
 #define MINTROCK_SRC_EDGE_EDGE_HPP_
 
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -19,6 +20,7 @@
 #include "fleet/hearsay.hpp"
 #include "list/client.hpp"
 #include "list/pool_list.hpp"
+#include "membership/keeper.hpp"
 #include "net/loop.hpp"
 
 namespace mintrock::edge {
@@ -77,6 +79,10 @@
   const std::string& identity_of(ServerId server) override;
 
   void on_list(const list::SseEvent& event);
+  bool load_kept_list();  // true: there is one
+  void keep_list(const list::News& news);
+  void confirm_list();
+  void tell_store_faults();
   void load_cached_list();
   void save_list();
   void on_datagram(std::string_view bytes, net::Address from);
@@ -102,9 +108,14 @@
   fleet::Writer hearsay_out_;
   fleet::Reader hearsay_in_;
   std::unique_ptr<Admin> admin_;
+  // Told by the store's own thread, logged by the loop.
+  std::mutex store_faults_mutex_;
+  std::vector<std::string> store_faults_;
+  std::unique_ptr<membership::Keeper> keeper_;
   net::TimerId desk_timer_ = 0;
   double desk_timer_at_ = 0;
   net::TimerId drain_timer_ = 0;
+  net::TimerId confirm_timer_ = 0;
   bool release_sent_ = false;  // by the call that is being hung up
   std::uint64_t realm_refused_ = 0;
   std::uint64_t class_refused_ = 0;
--- a/src/membership/trust.cpp
+++ b/src/membership/trust.cpp
@@ -42,6 +42,15 @@
 
 }  // namespace
 
+Age age_of(double confirmed_wall, const Moment& kept, const Moment& now) {
+  constexpr double kDrift = 5;  // s that a wall clock may be set back without meaning
+  const double before = std::max(0.0, kept.wall - confirmed_wall);
+  if (!kept.boot.empty() && kept.boot == now.boot && now.monotonic >= kept.monotonic) {
+    return {before + now.monotonic - kept.monotonic, false};
+  }
+  return {before + std::max(0.0, now.wall - kept.wall), now.wall < kept.wall - kDrift};
+}
+
 Trust judge(const TrustSettings& settings, const Evidence& evidence) {
   const double age = std::isnan(evidence.confirmed_age_s) || evidence.clock_doubtful
                          ? kVeryOld
--- a/src/membership/trust.hpp
+++ b/src/membership/trust.hpp
@@ -46,6 +46,21 @@
   kLast,    // the same, and only where no other entry is left
 };
 
+// A moment, by both clocks. `boot` names the machine's boot, within which the monotonic clock goes on.
+struct Moment {
+  double wall = 0;  // s since the Unix epoch
+  double monotonic = 0;
+  std::string boot;  // empty: not known
+};
+struct Age {
+  double seconds = 0;     // since the confirmation
+  bool doubtful = false;  // the wall clock went back between the two moments, and nothing else tells
+};
+// The age, `now`, of what was confirmed at `confirmed_wall` and kept at the moment `kept`. Within one boot
+// the monotonic clock tells how long the list lay, whatever the wall clock did; else the wall clock must be
+// believed unless it went back.
+Age age_of(double confirmed_wall, const Moment& kept, const Moment& now);
+
 struct Trust {
   double degree = 0;  // 0 to 1
   Approach approach = Approach::kLast;
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -176,7 +176,10 @@
   Rig() : core(loop, "core-0.test"), caller(loop, "dock-1.test") {
     init_logging_once();
     core.on_setup = [this](Line& line, const MessageView& view) { core.success(line, view); };
-    list = std::make_unique<net::Listener>(loop, net::Address{}, [this](int fd, net::Address from) {
+    listen_list({});
+  }
+  void listen_list(net::Address at) {
+    list = std::make_unique<net::Listener>(loop, at, [this](int fd, net::Address from) {
       auto stream = net::Stream::adopt(loop, fd, from, 1 << 20);
       stream->set({{},
                    [this, weak = std::weak_ptr<net::Stream>(stream)](std::string_view) {
@@ -227,6 +230,7 @@
     config.settings.asks_for_list = true;
     config.seed = 1;
     if (change) change(config);
+    last_config = config;
     edge = std::make_unique<Edge>(loop, config, config_file);
     edge->start();
     wait([&] { return !core.lines.empty(); }, "the proxy connects to the core server");
@@ -253,6 +257,7 @@
   std::vector<std::shared_ptr<net::Stream>> watchers;
   ServerEntry::State state = ServerEntry::State::kReady;
   std::string config_file;
+  Config last_config;
   std::unique_ptr<Edge> edge;
 };
 
@@ -731,6 +736,50 @@
   EXPECT_EQ(caller.end_results["s"][0], diameter::kUnableToDeliver);
 }
 
+// Started again with nobody to ask for the list: calls go by the kept one, and fresh news is heeded at once.
+TEST_F(Rig, AStartWithoutTheListGoesByTheKeptOne) {
+  const std::string store = std::string(::testing::TempDir()) + "edge-store-" + std::to_string(getpid());
+  const auto with_store = [&](Config& c) {
+    c.list.store = store;
+    c.list.reconnect_s = 0.05;
+  };
+  std::remove(store.c_str());
+  start(with_store);
+  wait([&] { return edge->list_revision() == 1; }, "the list");
+  edge.reset();
+  const net::Address list_at = list->local();
+  list.reset();
+  for (auto& each : watchers) each->close();
+  core.lines.clear();
+  Config config = last_config;
+  edge = std::make_unique<Edge>(loop, config, config_file);
+  edge->start();
+  wait([&] { return edge->core_state(core.host) == "I-Open"; }, "the kept server is connected to");
+  EXPECT_EQ(edge->list_revision(), 0u);
+  connect();
+  caller.ccr("s", 1, 1);
+  wait([&] { return caller.results["s"].size() == 1; }, "an answer");
+  EXPECT_EQ(caller.results["s"][0], diameter::kSuccess);
+  state = ServerEntry::State::kDraining;
+  listen_list(list_at);
+  wait([&] { return edge->list_revision() == 1; }, "fresh news");
+  const int before = core.setups;
+  caller.ccr("t", 1, 2, "", 200);
+  wait([&] { return caller.results["t"].size() == 1; }, "an answer");
+  EXPECT_EQ(core.setups, before) << "drained, whatever was kept";
+  edge.reset();
+  std::remove(store.c_str());
+}
+
+// A store that can't be had is named, and the proxy starts without it.
+TEST_F(Rig, AnUnusableStoreIsNoReasonNotToStart) {
+  start([](Config& c) { c.list.store = "/proc/no-such-folder/store"; });
+  connect();
+  caller.ccr("s", 1, 1);
+  wait([&] { return caller.results["s"].size() == 1; }, "an answer");
+  EXPECT_EQ(caller.results["s"][0], diameter::kSuccess);
+}
+
 TEST_F(Rig, GarbageFromTheCoreSideClosesThatConnectionOnly) {
   start();
   connect();
--- a/tests/membership/store_test.cpp
+++ b/tests/membership/store_test.cpp
@@ -13,6 +13,10 @@
 #include <iterator>
 #include <limits>
 #include <random>
+#include <string>
+#include <vector>
+
+#include "membership/keeper.hpp"
 
 namespace mintrock::membership {
 namespace {
@@ -173,6 +177,43 @@
   EXPECT_EQ(status, 0);
 }
 
+TEST_F(Kept, ChangesThatWaitTogetherComeToTheirSum) {
+  Change first = change(1, 3);
+  Change then = change(2, 0, false);
+  then.entries = {entry(1, 9)};
+  then.removed = {"core-0.test"};
+  const Change both = merged(first, then);
+  EXPECT_TRUE(both.full);
+  EXPECT_EQ(both.revision, 2u);
+  Store store(path, Store::Durability::kProcessCrash);
+  store.apply(both);
+  const Loaded back = store.load();
+  ASSERT_EQ(back.entries.size(), 2u);
+  EXPECT_EQ(back.entries[0], entry(1, 9));
+  EXPECT_EQ(back.entries[1], entry(2, 1));
+  EXPECT_EQ(merged(then, change(3, 1)).entries.size(), 1u) << "a whole list is what counts";
+}
+
+TEST_F(Kept, TheKeeperWritesAllAndBeginsADamagedStoreAnew) {
+  std::vector<std::string> faults;
+  const auto fault = [&](const std::string& what) { faults.push_back(what); };
+  {
+    Keeper keeper(path, Store::Durability::kPowerCut, fault);
+    for (std::uint64_t i = 1; i <= 200; ++i) keeper.keep(change(i, 3));
+  }
+  EXPECT_TRUE(faults.empty());
+  {
+    Keeper keeper(path, Store::Durability::kPowerCut, fault);
+    EXPECT_EQ(keeper.loaded().revision, 200u);
+    EXPECT_EQ(keeper.loaded().entries.size(), 3u);
+  }
+  put(std::string(3000, 'x'));
+  Keeper keeper(path, Store::Durability::kPowerCut, fault);
+  ASSERT_EQ(faults.size(), 1u);
+  EXPECT_NE(faults[0].find("set aside"), std::string::npos);
+  EXPECT_TRUE(keeper.loaded().entries.empty());
+}
+
 // Killed at any moment while it writes, a store has the last change that was acknowledged or the one after
 // it, never a mix.
 TEST_F(Kept, KilledWhileItWritesItHasOneChangeWhole) {
--- a/tests/membership/trust_test.cpp
+++ b/tests/membership/trust_test.cpp
@@ -51,6 +51,18 @@
   EXPECT_NE(judge(TrustSettings(), e).why.find("clock"), std::string::npos);
 }
 
+TEST(Trust, AgesGoByTheMonotonicClockWithinOneBootElseByTheWall) {
+  const Moment kept{1000000, 50, "a"};
+  EXPECT_EQ(age_of(1000000 - 30, kept, {1000000 - kDay, 110, "a"}).seconds, 90) << "the clock was set back";
+  EXPECT_EQ(age_of(1000000 - 30, kept, {1000000 + 365 * kDay, 110, "a"}).seconds, 90) << "or forward a year";
+  EXPECT_EQ(age_of(1000000 - 30, kept, {1000000 + 60, 5, "b"}).seconds, 90);
+  EXPECT_FALSE(age_of(1000000 - 30, kept, {1000000 + 60, 5, "b"}).doubtful);
+  EXPECT_TRUE(age_of(1000000 - 30, kept, {1000000 - kDay, 5, "b"}).doubtful);
+  EXPECT_EQ(age_of(1000000, kept, {1000000 + 365 * kDay, 5, "b"}).seconds, 365 * kDay)
+      << "too old: the safe side";
+  EXPECT_EQ(age_of(1000000, {1000000, 50, ""}, {1000000 + 60, 5, ""}).seconds, 60);
+}
+
 TEST(Trust, GrowsWithAnswersAndFallsWithRefusals) {
   const TrustSettings s;
   Evidence e = aged(kDay);
