A kept entry is told as it was kept: told as cold, nearly every call was refused

Need: measured without sockets, entries told as just started were sent about one set-up a window for the whole warm-up, since the cold budget rests on a rate that a fresh start does not know: 47.6 to 50% of 30 s of calls refused (fleets of 1, 4, 200), against 0.00 to 0.01% told as kept.

Change: as cold only where TrustSettings::cold_below says so, 0 by default; old entries have less weight, too old ones are left out while others are ready. What is missing, the rate seen before the restart, stands first in the roadmap.

--- a/src/membership/trust.cpp
+++ b/src/membership/trust.cpp
@@ -69,6 +69,7 @@
   out.approach = out.degree >= settings.warm_at ? Approach::kAsKept
                  : out.degree >= settings.least ? Approach::kGently
                                                 : Approach::kLast;
+  out.as_cold = out.degree < settings.cold_below;
   out.first_choice = out.degree >= settings.first_choice_at;
   out.why = "confirmed by " + std::string(source_text(evidence.source)) + " " + age_text(age) + " ago";
   if (evidence.clock_doubtful) out.why += ", the clock jumped";
@@ -87,7 +88,7 @@
     ServerEntry entry = each.entry;
     if (entry.state == ServerEntry::State::kReady) {
       if (each.trust.approach == Approach::kLast && better) continue;
-      if (each.trust.approach != Approach::kAsKept) entry.since = std::max(entry.since, now);
+      if (each.trust.as_cold) entry.since = std::max(entry.since, now);
       entry.weight *= std::max(kLeastWeight, each.trust.degree);
     }
     out.push_back(entry);
--- a/src/membership/trust.hpp
+++ b/src/membership/trust.hpp
@@ -3,9 +3,9 @@
 //
 // Pure: ages, sources and evidence in, a degree of trust and what follows from it out; no clock, no I/O.
 // docs/membership.md weighs the options and has the table. What follows is told to the Controller as an entry
-// of a cached list (ServerList::kCached): it still decides each call. An entry that is little believed is
-// told as just started, so that rule four's budget for cold servers holds it, summed over all proxies that
-// start at once; it grows as the server answers, since what it answers proves what it can do.
+// of a cached list (ServerList::kCached): it still decides each call. Old entries are drawn less
+// often, and told as just started where the settings say so, under rule four's budget for cold servers; those
+// that are too old are left out while others are ready. In any case traffic grows only as a server answers.
 #ifndef MINTROCK_SRC_MEMBERSHIP_TRUST_HPP_
 #define MINTROCK_SRC_MEMBERSHIP_TRUST_HPP_
 
@@ -24,10 +24,14 @@
   double half_life_s = 600;  // trust halves with each such time since the entry was last confirmed; over 0
   double first_choice_at = 0.5;  // from this trust on an entry may be a first choice; 0 to 1
   double warm_at = 0.9;          // from this trust on it is told as it was kept, below as just started
-  double least = 1e-4;           // below, an entry is too old: used only where no other is left
-  double peer_share = 0.8;       // a peer's word counts for so much of the list's own; 0 to 1
-  double refused_share = 0.5;    // trust is multiplied by this with each refused or failed connection
-  double answer_gain = 0.3;      // share of the way to full trust that an answer brings
+  // Below this trust an entry is told as just started, so that the budget for cold servers holds it. 0:
+  // never. Without a kept rate of what the server took, that budget is about one set-up a window, for a whole
+  // warm-up: measured, nearly every call of it was refused (docs/membership.md).
+  double cold_below = 0;
+  double least = 1e-4;         // below, an entry is too old: used only where no other is left
+  double peer_share = 0.8;     // a peer's word counts for so much of the list's own; 0 to 1
+  double refused_share = 0.5;  // trust is multiplied by this with each refused or failed connection
+  double answer_gain = 0.3;    // share of the way to full trust that an answer brings
 };
 
 // What is known of one entry.
@@ -42,7 +46,7 @@
 
 enum class Approach {
   kAsKept,  // believed: as the list had it
-  kGently,  // told as just started: the cold budget, single trials first
+  kGently,  // drawn less often; its traffic grows only as it answers
   kLast,    // the same, and only where no other entry is left
 };
 
@@ -65,7 +69,8 @@
   double degree = 0;  // 0 to 1
   Approach approach = Approach::kLast;
   bool first_choice = false;
-  std::string why;  // one line, for operators
+  bool as_cold = false;  // to be told as just started
+  std::string why;       // one line, for operators
 };
 
 // Degree and consequences for one entry.
@@ -78,7 +83,7 @@
 };
 // The whole list, as of `now` on the Controller's clock: entries that are drained or gone stay so, whatever
 // their age (a drain is never undone by a kept list); those too old are left out while any other is ready;
-// weights are scaled by trust, so that the better known servers are drawn more often; those approached gently
+// weights are scaled by trust, so that the better known servers are drawn more often; those with `as_cold`
 // are told as started now.
 std::vector<ServerEntry> tell(const std::vector<Kept>& kept, Time now);
 
