--- a/src/bench/wire.cpp
+++ b/src/bench/wire.cpp
@@ -1,21 +1,18 @@
 #include "bench/wire.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
-#include <cstring>
-#include <map>
 #include <utility>
 
 namespace mintrock::wire {
 namespace {
 
+using instance::read_server;
+using instance::valid_utf8;
+using instance::write_server;
+
 constexpr std::size_t kEntrySize = 25;
-constexpr std::size_t kMaxItems = 100000;  // of a list in the settings; more is taken for nonsense
-constexpr std::size_t kMaxNote = 65535;    // bytes of a log line
-constexpr std::uint8_t kHearsayVersion = 1;
-constexpr std::size_t kHearsaySize = 10;  // bytes of an entry
-constexpr std::size_t kMostHearsay = 25;  // entries that a message of 256 bytes holds
+constexpr std::size_t kMaxNote = 65535;  // bytes of a log line
 
 constexpr std::uint16_t kRedialled = 2;
 constexpr std::uint16_t kWasCut = 16;
@@ -27,40 +24,6 @@
 template <class... Ts>
 Overloaded(Ts...) -> Overloaded<Ts...>;
 
-// Rejects overlong forms, surrogates and values past U+10FFFF as well as broken sequences.
-bool valid_utf8(std::string_view text) {
-  std::size_t i = 0;
-  while (i < text.size()) {
-    const auto lead = static_cast<unsigned char>(text[i]);
-    const std::size_t extra = lead < 0x80       ? 0
-                              : lead >> 5 == 6  ? 1
-                              : lead >> 4 == 14 ? 2
-                              : lead >> 3 == 30 ? 3
-                                                : 9;
-    if (extra == 9 || extra >= text.size() - i) return false;
-    std::uint32_t code = extra == 0 ? lead : lead & (0x3Fu >> extra);
-    for (std::size_t k = 1; k <= extra; ++k) {
-      const auto next = static_cast<unsigned char>(text[i + k]);
-      if (next >> 6 != 2) return false;
-      code = code << 6 | (next & 0x3Fu);
-    }
-    constexpr std::uint32_t kLeast[] = {0, 0x80, 0x800, 0x10000};
-    if (code < kLeast[extra] || code > 0x10FFFF || (code >= 0xD800 && code < 0xE000)) return false;
-    i += extra + 1;
-  }
-  return true;
-}
-
-ServerId read_server(Reader& in) {
-  const std::uint64_t address = in.u32();
-  return address << 16 | in.u16();
-}
-
-void write_server(Writer& out, ServerId server) {
-  out.u32(static_cast<std::uint32_t>(server >> 16));
-  out.u16(static_cast<std::uint16_t>(server & 0xFFFF));
-}
-
 std::vector<float> read_telemetry(Reader& in) {
   std::vector<float> values(in.u8());
   for (float& value : values) value = in.f32();
@@ -252,188 +215,8 @@
   }
 }
 
-// The settings text as pairs, with typed look-ups. A key that is missing leaves the default.
-class Pairs {
- public:
-  explicit Pairs(std::string_view text) {
-    while (!text.empty()) {
-      const std::size_t end = std::min(text.find('\n'), text.size());
-      const std::string_view line = text.substr(0, end);
-      text.remove_prefix(std::min(end + 1, text.size()));
-      if (line.empty()) continue;
-      const std::size_t equals = line.find('=');
-      if (equals == std::string_view::npos || equals == 0) {
-        throw WireError("settings line without path=value: " + std::string(line.substr(0, 60)));
-      }
-      pairs_[std::string(line.substr(0, equals))] = std::string(line.substr(equals + 1));
-    }
-  }
-
-  const std::string* find(const std::string& key) const {
-    const auto found = pairs_.find(key);
-    return found == pairs_.end() ? nullptr : &found->second;
-  }
-
-  void read(const std::string& key, double& out) const {
-    if (const std::string* text = find(key)) out = number(key, *text);
-  }
-  void read(const std::string& key, std::uint32_t& out) const {
-    if (const std::string* text = find(key)) {
-      const double value = number(key, *text);
-      if (value > 4294967295.0 || value != std::floor(value)) bad(key);
-      out = static_cast<std::uint32_t>(value);
-    }
-  }
-  void read(const std::string& key, bool& out) const {
-    if (const std::string* text = find(key)) {
-      if (*text != "true" && *text != "false") bad(key);
-      out = *text == "true";
-    }
-  }
-  std::size_t count(const std::string& key) const {
-    std::uint32_t value = 0;
-    read(key + ".count", value);
-    if (value > kMaxItems) bad(key + ".count");
-    return value;
-  }
-  static std::vector<std::string> split(const std::string& text) {
-    std::vector<std::string> parts;
-    std::size_t at = 0;
-    while (at < text.size()) {
-      const std::size_t end = std::min(text.find(',', at), text.size());
-      parts.push_back(text.substr(at, end - at));
-      at = end + 1;
-    }
-    return parts;
-  }
-  // All figures read here are sizes, times or shares: none may be negative.
-  static double number(const std::string& key, const std::string& text) {
-    double value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value) || value < 0)
-      bad(key);
-    return value;
-  }
-  [[noreturn]] static void bad(const std::string& key) {
-    throw WireError("nonsense in settings at " + key.substr(0, 60));
-  }
-
- private:
-  std::map<std::string, std::string> pairs_;
-};
-
-void read_class(const Pairs& pairs, std::size_t index, Settings::Class& out) {
-  const std::string base = "classes." + std::to_string(index) + ".";
-  pairs.read(base + "goal_time_s", out.aim_s);
-  pairs.read(base + "deadline_s", out.deadline_s);
-  pairs.read(base + "value", out.value);
-  if (const std::string* effect = pairs.find(base + "effect")) {
-    if (*effect == "repeatable") {
-      out.effect = Effect::kRepeatable;
-    } else if (*effect == "by_key") {
-      out.effect = Effect::kByKey;
-    } else if (*effect == "once") {
-      out.effect = Effect::kOnce;
-    } else {
-      Pairs::bad(base + "effect");
-    }
-  }
-  const std::string key = "domain.skilled_pools." + std::to_string(index);
-  if (const std::string* nodes = pairs.find(key)) {
-    for (const std::string& part : Pairs::split(*nodes)) {
-      const double node = Pairs::number(key, part);
-      if (node > 4294967295.0 || node != std::floor(node)) Pairs::bad(key);
-      out.nodes.push_back(static_cast<std::uint32_t>(node));
-    }
-  }
-}
-
 }  // namespace
 
-std::uint64_t Reader::bits(std::size_t width) {
-  const std::string_view raw = bytes(width);
-  std::uint64_t value = 0;
-  for (const char c : raw) value = value << 8 | static_cast<unsigned char>(c);
-  return value;
-}
-
-std::string_view Reader::bytes(std::size_t count) {
-  if (count > left()) throw WireError("frame ends inside a record");
-  const std::string_view part = data_.substr(at_, count);
-  at_ += count;
-  return part;
-}
-
-float Reader::f32() {
-  const std::uint32_t raw = u32();
-  float value = 0;
-  std::memcpy(&value, &raw, sizeof value);
-  return value;
-}
-
-double Reader::f64() {
-  const std::uint64_t raw = u64();
-  double value = 0;
-  std::memcpy(&value, &raw, sizeof value);
-  return value;
-}
-
-bool Reader::boolean() {
-  const std::uint8_t raw = u8();
-  if (raw > 1) throw WireError("a truth value is neither 0 nor 1");
-  return raw == 1;
-}
-
-void Writer::bits(std::uint64_t v, std::size_t width) {
-  for (std::size_t i = width; i-- > 0;) out_.push_back(static_cast<char>(v >> (8 * i) & 0xFF));
-}
-
-void Writer::f32(float v) {
-  std::uint32_t raw = 0;
-  std::memcpy(&raw, &v, sizeof raw);
-  u32(raw);
-}
-
-void Writer::f64(double v) {
-  std::uint64_t raw = 0;
-  std::memcpy(&raw, &v, sizeof raw);
-  u64(raw);
-}
-
-std::string pack_hearsay(const std::vector<Hearsay>& hearsay) {
-  const auto milliseconds = [](double seconds) {
-    return static_cast<std::uint16_t>(
-        std::clamp(std::isfinite(seconds) ? seconds * 1000 : 65535, 0.0, 65535.0));
-  };
-  Writer out;
-  const std::size_t count = std::min(hearsay.size(), kMostHearsay);
-  out.u8(kHearsayVersion);
-  out.u8(static_cast<std::uint8_t>(count));
-  for (std::size_t i = 0; i < count; ++i) {
-    write_server(out, hearsay[i].server);
-    out.u16(milliseconds(hearsay[i].wait_s));
-    out.u16(milliseconds(hearsay[i].age_s));
-  }
-  return out.str();
-}
-
-std::vector<Hearsay> unpack_hearsay(std::string_view bytes) {
-  std::vector<Hearsay> hearsay;
-  if (bytes.size() < 2) return hearsay;
-  Reader in(bytes);
-  const bool known = in.u8() == kHearsayVersion;
-  const std::size_t count = in.u8();
-  if (!known || count > kMostHearsay || in.left() != count * kHearsaySize) return hearsay;
-  while (!in.done()) {
-    Hearsay entry;
-    entry.server = read_server(in);
-    entry.wait_s = in.u16() / 1000.0;
-    entry.age_s = in.u16() / 1000.0;
-    hearsay.push_back(entry);
-  }
-  return hearsay;
-}
-
 Header parse_header(std::string_view data) {
   Reader in(data);
   Header header;
@@ -443,67 +226,6 @@
   return header;
 }
 
-InstanceSettings parse_settings(std::string_view text) {
-  const Pairs pairs(text);
-  InstanceSettings out;
-  Settings& s = out.settings;
-  s.classes.resize(pairs.count("classes"));
-  for (std::size_t i = 0; i < s.classes.size(); ++i) read_class(pairs, i, s.classes[i]);
-  pairs.read("domain.clear_wait_s", s.release_wait_s);
-  pairs.read("domain.t1_s", s.repeat_after_s);
-  pairs.read("rules.start_capacity", s.start_capacity);
-  pairs.read("rules.warm_up_s", s.warm_up_s);
-  pairs.read("rules.overload_factor", s.overload_factor);
-  pairs.read("rules.fall_s", s.fall_s);
-  pairs.read("fleet_size", s.fleet_size);
-  pairs.read("me", s.own_number);
-  pairs.read("limits.peers", s.tells_peers);
-  pairs.read("callers.marks_retry", s.marks_redials);
-  pairs.read("limits.try_limit", s.attempt_limit);
-  pairs.read("limits.max_retry_after_s", s.max_retry_after_s);
-  pairs.read("limits.cancelling", s.can_cancel);
-  pairs.read("limits.retry_after", s.gives_retry_after);
-  if (const std::string* mode = pairs.find("registry_mode")) s.asks_for_list = *mode == "ask";
-  if (const std::string* fields = pairs.find("load_info.fields")) {
-    static const std::pair<const char*, Field> kNames[] = {{"spare", Field::kSpare},
-                                                           {"total", Field::kTotal},
-                                                           {"mean_ms", Field::kWaitMs},
-                                                           {"depth", Field::kQueue}};
-    for (const std::string& name : Pairs::split(*fields)) {
-      Field field = Field::kUnknown;
-      for (const auto& [known, value] : kNames) {
-        if (name == known) field = value;
-      }
-      out.fields.push_back(field);
-    }
-  }
-  return out;
-}
-
-Report make_report(const std::vector<Field>& fields, const std::vector<float>& values) {
-  Report report;
-  for (std::size_t i = 0; i < values.size() && i < fields.size(); ++i) {
-    const double value = values[i];
-    switch (fields[i]) {
-      case Field::kSpare:
-        report.spare = value;
-        break;
-      case Field::kWaitMs:
-        report.wait_s = value / 1000.0;
-        break;
-      case Field::kQueue:
-        report.queue = value;
-        break;
-      case Field::kTotal:
-        report.total = value;
-        break;
-      case Field::kUnknown:
-        break;
-    }
-  }
-  return report;
-}
-
 std::vector<Record> parse_batch(std::string_view body) {
   Reader in(body);
   std::vector<Record> records;
--- a/src/edge/call_desk.cpp
+++ b/src/edge/call_desk.cpp
@@ -148,9 +148,22 @@
   Call& call = found->second;
   if (call.state == View::State::kOut)
     return attempt_over(id, call, outcome, cause, told_wait_s, report, now);
+  standing_over(id, call, outcome, report, now);
+}
+
+void CallDesk::ended_standing(CallId id, Outcome outcome, const Report& report, double now) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end() || found->second.state != View::State::kStands) {
+    counts_.late += 1;
+    return;
+  }
+  standing_over(id, found->second, outcome, report, now);
+}
+
+void CallDesk::standing_over(CallId id, const Call& call, Outcome outcome, const Report& report, double now) {
   AttemptEnded event;
   event.call = id;
-  event.attempt = attempt;
+  event.attempt = call.attempts - 1;
   event.server = call.server;
   event.spent_s = now - call.sent;
   event.outcome = outcome;
--- a/src/edge/call_desk.hpp
+++ b/src/edge/call_desk.hpp
@@ -96,6 +96,9 @@
   void ended(CallId call, std::uint32_t attempt, Outcome outcome, Cause cause, double told_wait_s,
              const Report& report, double now);
 
+  // The same of a call that stands, whatever the number of the attempt that it became.
+  void ended_standing(CallId call, Outcome outcome, const Report& report, double now);
+
   // ---- From elsewhere ----
   void start(double now);
   void list(const ServerList& news, double now);
@@ -146,6 +149,7 @@
   void finish(CallId id, const Verdict& verdict, double now);
   void attempt_over(CallId id, Call& call, Outcome outcome, Cause cause, double told_wait_s,
                     const Report& report, double now);
+  void standing_over(CallId id, const Call& call, Outcome outcome, const Report& report, double now);
   void give_up(CallId id, std::uint32_t attempt);
   void drop(CallId id);
 
--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -2,22 +2,61 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <exception>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
 #include <string>
 
 #include "edge/config.hpp"
 #include "edge/edge.hpp"
 #include "edge/logging.hpp"
 #include "net/loop.hpp"
+#include "platform/platform_edge.hpp"
+
+namespace {
+
+std::string read_file(const std::string& name) {
+  std::ifstream in(name, std::ios::binary);
+  std::ostringstream text;
+  text << in.rdbuf();
+  if (!in) throw std::runtime_error("cannot read " + name);
+  return text.str();
+}
+
+int serve_platform() {
+  const char* const file = std::getenv("LB_CONFIG");
+  if (file == nullptr) throw std::runtime_error("LB_CONFIG is not set");
+  mintrock::edge::init_logging("info", "");
+  std::signal(SIGPIPE, SIG_IGN);
+  mintrock::net::Loop loop;
+  mintrock::platform::PlatformEdge edge(loop, mintrock::platform::parse_config(read_file(file)), file);
+  loop.on_signal(SIGHUP, [&] { edge.reload(); });
+  loop.on_signal(SIGTERM, [&] { edge.drain(); });
+  loop.on_signal(SIGINT, [&] { edge.drain(); });
+  edge.start();
+  loop.run();
+  return 0;
+}
+
+}  // namespace
 
 int main(int argc, char** argv) {
   CLI::App app{"mintrock-edge: sets calls up at core servers, over Diameter"};
   std::string file;
   bool check = false;
-  app.add_option("--config", file, "settings, a YAML file (docs/configuration.md)")->required();
+  bool platform = false;
+  app.add_option("--config", file, "settings, a YAML file (docs/configuration.md)");
+  app.add_flag("--platform", platform, "serve the users' platform, as LB_CONFIG says (docs/platform.md)");
   app.add_flag("--check", check, "read and check the settings, then exit");
   CLI11_PARSE(app, argc, argv);
+  if (platform != file.empty()) {
+    std::fprintf(stderr, "mintrock-edge: one of --config and --platform is needed\n");
+    return 2;
+  }
   try {
+    if (platform) return serve_platform();
     mintrock::edge::Config config = mintrock::edge::load_config(file);
     if (check) {
       std::printf("%s: good\n", file.c_str());
--- /dev/null
+++ b/src/instance/bytes.hpp
@@ -0,0 +1,67 @@
+// Big-endian bytes, read and written: what the simulator's wire and the messages between proxies are made of.
+#ifndef MINTROCK_SRC_INSTANCE_BYTES_HPP_
+#define MINTROCK_SRC_INSTANCE_BYTES_HPP_
+
+#include <cstddef>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "mintrock/controller.hpp"
+
+namespace mintrock::instance {
+
+// Input that breaks its form, with a plain message.
+class FormatError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// Rejects overlong forms, surrogates and values past U+10FFFF as well as broken sequences.
+bool valid_utf8(std::string_view text);
+
+// Reads big-endian values from a buffer it does not own; reading past the end throws.
+class Reader {
+ public:
+  explicit Reader(std::string_view data) : data_(data) {}
+  bool done() const { return at_ == data_.size(); }
+  std::uint8_t u8() { return static_cast<std::uint8_t>(bits(1)); }
+  std::uint16_t u16() { return static_cast<std::uint16_t>(bits(2)); }
+  std::uint32_t u32() { return static_cast<std::uint32_t>(bits(4)); }
+  std::uint64_t u64() { return bits(8); }
+  float f32();
+  double f64();
+  bool boolean();
+  std::string_view bytes(std::size_t count);
+  std::size_t left() const { return data_.size() - at_; }
+
+ private:
+  std::uint64_t bits(std::size_t width);
+  std::string_view data_;
+  std::size_t at_ = 0;
+};
+
+class Writer {
+ public:
+  void u8(std::uint8_t v) { bits(v, 1); }
+  void u16(std::uint16_t v) { bits(v, 2); }
+  void u32(std::uint32_t v) { bits(v, 4); }
+  void u64(std::uint64_t v) { bits(v, 8); }
+  void f32(float v);
+  void f64(double v);
+  void bytes(std::string_view v) { out_.append(v); }
+  const std::string& str() const { return out_; }
+
+ private:
+  void bits(std::uint64_t v, std::size_t width);
+  std::string out_;
+};
+
+// A server as four bytes of address and two of port, or of whatever else names it.
+ServerId read_server(Reader& in);
+void write_server(Writer& out, ServerId server);
+
+}  // namespace mintrock::instance
+
+#endif  // MINTROCK_SRC_INSTANCE_BYTES_HPP_
--- a/src/list/client.hpp
+++ b/src/list/client.hpp
@@ -28,6 +28,8 @@
   // Opens the subscription unless it is open or under way. After a failure it is opened again by itself.
   void open();
   void close();
+  // What is known already, from elsewhere: the subscription goes on behind this event.
+  void resume_after(const std::string& id) { sse_.set_last_id(id); }
 
  private:
   void failed(const std::string& why);
--- a/src/list/pool_list.cpp
+++ b/src/list/pool_list.cpp
@@ -151,6 +151,13 @@
   return out;
 }
 
+void Book::forget(ServerId server) {
+  const auto found = entries_.find(server);
+  if (found == entries_.end()) return;
+  numbers_.erase(found->second.identity);
+  entries_.erase(found);
+}
+
 const Entry* Book::find(ServerId server) const {
   const auto found = entries_.find(server);
   return found == entries_.end() ? nullptr : &found->second;
--- a/src/list/pool_list.hpp
+++ b/src/list/pool_list.hpp
@@ -45,6 +45,9 @@
   // The same news for the decisions. `since` on the monotonic clock, from the wall clock at the same instant.
   ServerList event(const News& news, ServerList::Mode mode, double now, double wall);
 
+  // One that is gone, and that nobody asks for any more. Its number is not given again.
+  void forget(ServerId server);
+
   const std::map<ServerId, Entry>& entries() const { return entries_; }
   const Entry* find(ServerId server) const;
   ServerId number(const std::string& identity) const;  // 0: unknown
--- a/src/list/sse.hpp
+++ b/src/list/sse.hpp
@@ -45,8 +45,11 @@
     data_.clear();
     type_.clear();
     has_data_ = too_long_ = after_return_ = false;
+    begun_id_ = id_;
   }
 
+  void set_last_id(const std::string& id) { id_ = begun_id_ = id; }
+  // Of the last whole event: one that broke off behind its id has not been told, and is asked for again.
   const std::string& last_id() const { return id_; }
   std::size_t dropped() const { return dropped_; }
 
@@ -55,6 +58,7 @@
     std::string line;
     line.swap(line_);
     if (line.empty()) {
+      id_ = begun_id_;
       if (too_long_) {
         dropped_ += 1;
       } else if (has_data_) {
@@ -77,12 +81,12 @@
     } else if (field == "event") {
       type_ = value;
     } else if (field == "id") {
-      id_ = value;
+      begun_id_ = value;
     }
   }
 
   std::size_t most_;
-  std::string line_, data_, type_, id_;
+  std::string line_, data_, type_, id_, begun_id_;
   bool has_data_ = false;
   bool too_long_ = false;
   bool after_return_ = false;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -163,7 +163,7 @@
   if (result != 0 && error != EINPROGRESS) {
     // Told later, as every other failure is: the caller has not set its handlers yet.
     loop.defer([weak = std::weak_ptr<Stream>(stream), error] {
-      if (const auto self = weak.lock()) self->fail(std::strerror(error));
+      if (const auto self = weak.lock()) self->fail(error);
     });
   }
   return stream;
@@ -193,7 +193,7 @@
     int error = 0;
     socklen_t size = sizeof error;
     getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
-    if (error != 0) return fail(std::strerror(error));
+    if (error != 0) return fail(error);
     connecting_ = false;
     arm();
     if (handlers && handlers->on_connected) handlers->on_connected();
@@ -203,7 +203,7 @@
     static thread_local std::array<char, kReadSize> buffer;
     const ssize_t got = ::recv(fd_, buffer.data(), buffer.size(), 0);
     if (got == 0) return fail("closed by the other side");
-    if (got < 0 && errno != EAGAIN && errno != EINTR) return fail(std::strerror(errno));
+    if (got < 0 && errno != EAGAIN && errno != EINTR) return fail(errno);
     if (got > 0 && !closing_ && handlers && handlers->on_bytes) {
       handlers->on_bytes(std::string_view(buffer.data(), static_cast<std::size_t>(got)));
     }
@@ -213,6 +213,7 @@
 
 void Stream::write(std::string_view bytes) {
   if (fd_ < 0 || closing_) return;
+  wrote_ = true;
   out_.append(bytes);
   // Much may be written in one turn to a peer that reads well: the bound is for what the system won't take.
   if (unsent() > max_unsent_ && !connecting_) push();
@@ -249,8 +250,8 @@
 
 void Stream::flush() {
   if (fd_ < 0 || connecting_) return;
-  if (!push()) return fail(std::strerror(errno));
-  if (unsent() == 0 && last_flush_) return close();
+  if (!push()) return fail(errno);
+  if (unsent() == 0 && last_flush_) return end_of_output();
   arm();
 }
 
@@ -261,6 +262,17 @@
   if (handlers && handlers->on_closed) handlers->on_closed(why);
 }
 
+void Stream::fail(int error) {
+  error_ = error;
+  fail(std::strerror(error));
+}
+
+void Stream::end_of_output() {
+  if (!lingering_) return close();
+  shutdown(fd_, SHUT_WR);
+  arm();
+}
+
 void Stream::close() {
   if (fd_ < 0) return;
   ev_io_stop(loop_.raw(), &io_);
@@ -286,6 +298,20 @@
   });
 }
 
+void Stream::finish() {
+  if (fd_ < 0 || last_flush_) return;
+  lingering_ = true;
+  const bool all_sent = unsent() == 0;
+  closing_ = true;
+  handlers_.reset();
+  last_flush_ = true;
+  loop_.last_flushes_.insert(shared_from_this());
+  close_timer_ = loop_.after(kFlushGrace, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->close();
+  });
+  if (all_sent) end_of_output();
+}
+
 void Stream::reset() {
   if (fd_ < 0) return;
   const linger hard{1, 0};
@@ -321,6 +347,16 @@
       socklen_t size = sizeof from;
       const int fd =
           accept4(self.fd_, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0 && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)) {
+        // The connection stays pending and would wake the loop at once, again and again.
+        constexpr double kLater = 0.05;  // s
+        ev_io_stop(self.loop_.raw(), w);
+        self.again_ = self.loop_.after(kLater, [&self] {
+          self.again_ = 0;
+          ev_io_start(self.loop_.raw(), &self.io_);
+        });
+        return;
+      }
       if (fd < 0) return;
       self.on_accept_(fd, from_sockaddr(from));
     }
@@ -331,6 +367,7 @@
 }
 
 Listener::~Listener() {
+  loop_.timers().cancel(again_);
   ev_io_stop(loop_.raw(), &io_);
   ::close(fd_);
 }
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -55,6 +55,8 @@
   // Calls `fn` at the end of this turn: for what must not happen inside a callback of its own object.
   void defer(std::function<void()> fn) { deferred_.push_back(std::move(fn)); }
   void on_signal(int signal, std::function<void()> fn);
+  // Streams that only their last bytes keep open.
+  std::size_t closing() const { return last_flushes_.size(); }
   struct ev_loop* raw() {
     return loop_;
   }
@@ -91,10 +93,15 @@
   void write(std::string_view bytes);
   void close();              // at once; what was not sent is lost
   void close_after_flush();  // once what was written has gone, or after a second
+  // The same, and what the other side still sends is read and dropped until it closes too, or a second has
+  // passed: a close over unread bytes is a reset, which may overtake what was written.
+  void finish();
   // Closes with a reset, as a process that dies does.
   void reset();
   bool is_open() const { return fd_ >= 0; }
+  int error() const { return error_; }  // the system's, once closed by a fault; 0: an orderly end
   std::size_t unsent() const { return out_.size() - out_at_; }
+  bool wrote() const { return wrote_; }  // something was handed to it at all
   const Address& remote() const { return remote_; }
   Address local() const;
   void pause_reading(bool paused);
@@ -107,6 +114,8 @@
   bool push();  // to the system, as much as it takes; false: a fault, in errno
   void flush();
   void fail(const std::string& why);
+  void fail(int error);
+  void end_of_output();
   Loop& loop_;
   int fd_;
   Address remote_;
@@ -115,7 +124,10 @@
   bool flush_queued_ = false;
   bool closing_ = false;
   bool last_flush_ = false;  // the loop keeps this stream until what was written has gone
+  bool lingering_ = false;   // finish() was called: it ends with the other side's close
   bool paused_ = false;
+  bool wrote_ = false;
+  int error_ = 0;
   int armed_ = 0;
   ev_io io_;
   // A handler may close its stream, or set others, while it runs: who calls one holds them meanwhile.
@@ -137,6 +149,7 @@
   int fd_;
   Address local_;
   ev_io io_;
+  TimerId again_ = 0;  // set while no descriptor is to be had
   std::function<void(int, Address)> on_accept_;
 };
 
--- /dev/null
+++ b/src/platform/caller_codec.cpp
@@ -0,0 +1,219 @@
+#include "platform/caller_codec.hpp"
+
+#include <charconv>
+#include <cmath>
+
+#include "instance/bytes.hpp"
+
+namespace mintrock::platform {
+namespace {
+
+constexpr std::size_t kLengthSize = 2;
+constexpr std::size_t kLeastLength = 9;  // type and call
+constexpr std::size_t kMostName = 255;
+constexpr double kMostLeftMs = 600000;  // ten minutes: more is no call's wait
+constexpr double kMostWidth = 1000;
+constexpr double kMostNode = 65535;
+
+std::size_t big_endian16(std::string_view text, std::size_t at) {
+  return static_cast<std::size_t>(static_cast<unsigned char>(text[at])) << 8 |
+         static_cast<unsigned char>(text[at + 1]);
+}
+
+// Digits with a sign and a point at most; false for anything else, NaN and infinities among it.
+bool read_number(std::string_view text, double& out) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
+  return error == std::errc() && end == text.data() + text.size() && std::isfinite(out);
+}
+
+// The number called as a key for the decisions: its value where it is hex, else a hash (FNV-1a) of its text.
+std::uint64_t key_of(std::string_view number) {
+  std::uint64_t key = 0;
+  const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), key, 16);
+  if (error == std::errc() && end == number.data() + number.size()) return key;
+  key = 0xcbf29ce484222325u;
+  for (const char c : number) key = (key ^ static_cast<unsigned char>(c)) * 0x100000001b3u;
+  return key;
+}
+
+const char* read_figures(std::string_view text, Setup& out) {
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find(';'), text.size());
+    const std::string_view item = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    if (item.empty()) continue;
+    const std::size_t colon = item.find(':');
+    if (colon == std::string_view::npos) return "figures without name:value";
+    const std::string_view name = item.substr(0, colon);
+    const std::string_view value = item.substr(colon + 1);
+    if (name == "at") {
+      if (value.empty() || value.size() > kMostName) return "no core server is named so";
+      out.stands_at = std::string(value);
+      continue;
+    }
+    double number = 0;
+    if (!read_number(value, number)) return "a figure is no number";
+    if (name == "dest") {
+      if (number < -1 || number > kMostNode || number != std::floor(number)) return "dest is out of range";
+      out.first_choice = static_cast<std::int64_t>(number);
+    } else if (name == "width") {
+      if (number <= 0 || number > kMostWidth) return "width is out of range";
+      out.width = number;
+    } else if (name == "via") {
+      if (number < -1 || number > kMostNode) return "via is out of range";
+    } else if (name == "again") {
+      if (number != 0 && number != 1) return "again is neither 0 nor 1";
+      out.was_cut = number == 1;
+    }
+  }
+  return nullptr;
+}
+
+void put16(std::string& out, std::size_t value) {
+  out.push_back(static_cast<char>(value >> 8 & 0xFF));
+  out.push_back(static_cast<char>(value & 0xFF));
+}
+
+}  // namespace
+
+std::string_view CallerMessage::find(Parameter code) const {
+  for (const auto& [each, value] : parameters) {
+    if (each == static_cast<std::uint8_t>(code)) return value;
+  }
+  return {};
+}
+
+std::optional<CallerMessage> MessageCutter::next() {
+  if (fault_ != nullptr) return std::nullopt;
+  if (at_ > 0 && (at_ == buffer_.size() || at_ >= kMostMessage)) {
+    buffer_.erase(0, at_);
+    at_ = 0;
+    if (buffer_.empty()) buffer_.shrink_to_fit();  // thousands of quiet connections hold nothing
+  }
+  const std::string_view rest = std::string_view(buffer_).substr(at_);
+  if (rest.size() < kLengthSize) return std::nullopt;
+  const std::size_t length = big_endian16(rest, 0);
+  if (length < kLeastLength) {
+    fault_ = "length too small";
+    return std::nullopt;
+  }
+  if (length + kLengthSize > kMostMessage) {
+    fault_ = "length too large";
+    return std::nullopt;
+  }
+  if (rest.size() < kLengthSize + length) return std::nullopt;
+  const std::string_view body = rest.substr(kLengthSize, length);
+  CallerMessage message;
+  message.type = static_cast<std::uint8_t>(body[0]);
+  for (std::size_t i = 1; i < kLeastLength; ++i) {
+    message.call = message.call << 8 | static_cast<unsigned char>(body[i]);
+  }
+  std::size_t at = kLeastLength;
+  while (at < body.size()) {
+    if (body.size() - at < 3) {
+      fault_ = "a parameter ends inside its length";
+      return std::nullopt;
+    }
+    const auto code = static_cast<std::uint8_t>(body[at]);
+    const std::size_t size = big_endian16(body, at + 1);
+    if (size > body.size() - at - 3) {
+      fault_ = "a parameter is longer than its message";
+      return std::nullopt;
+    }
+    message.parameters.emplace_back(code, body.substr(at + 3, size));
+    at += 3 + size;
+  }
+  at_ += kLengthSize + length;
+  return message;
+}
+
+std::optional<Setup> read_setup(const CallerMessage& message, const char*& why) {
+  Setup out;
+  out.id = message.call;
+  const auto fault = [&](const char* what) {
+    why = what;
+    return std::nullopt;
+  };
+  if (out.id == 0) return fault("no id");
+  for (std::size_t i = 0; i < message.parameters.size(); ++i) {
+    for (std::size_t k = 0; k < i; ++k) {
+      if (message.parameters[k].first == message.parameters[i].first) return fault("a parameter comes twice");
+    }
+    if (i > 32) return fault("too many parameters");
+  }
+  out.service_class = std::string(message.find(Parameter::kClass));
+  if (out.service_class.empty() || out.service_class.size() > kMostName) return fault("no class");
+  double left_ms = 0;
+  if (!read_number(message.find(Parameter::kLeft), left_ms)) return fault("the time left is no number");
+  if (left_ms <= 0 || left_ms > kMostLeftMs) return fault("the time left is out of range");
+  out.left_s = left_ms / 1000;
+  const std::string_view retry = message.find(Parameter::kRetry);
+  if (!retry.empty() && retry != "0" && retry != "1") return fault("the retry mark is neither 0 nor 1");
+  out.redialled = retry == "1";
+  out.number = std::string(message.find(Parameter::kNumber));
+  if (out.number.size() > kMostName) return fault("the number called is too long");
+  out.key = out.number.empty() ? 0 : key_of(out.number);
+  if (const char* bad = read_figures(message.find(Parameter::kFigures), out)) return fault(bad);
+  out.description = std::string(message.find(Parameter::kDescription));
+  if (out.description.empty() && out.stands_at.empty()) return fault("no description");
+  // What can't stand in a JSON line can't be passed on; a core server closes over it, with all that is open.
+  for (const std::string* text : {&out.service_class, &out.number, &out.description}) {
+    if (!instance::valid_utf8(*text)) return fault("text that is no UTF-8");
+  }
+  return out;
+}
+
+int read_cause(const CallerMessage& message) {
+  const std::string_view value = message.find(Parameter::kCause);
+  return value.size() == 1 ? static_cast<unsigned char>(value[0]) : kCauseNormal;
+}
+
+std::string write_message(CallerType type, std::uint64_t call,
+                          const std::vector<std::pair<Parameter, std::string>>& parameters) {
+  std::string body;
+  body.push_back(static_cast<char>(type));
+  for (int shift = 56; shift >= 0; shift -= 8) body.push_back(static_cast<char>(call >> shift & 0xFF));
+  for (const auto& [code, value] : parameters) {
+    body.push_back(static_cast<char>(code));
+    put16(body, value.size());
+    body += value;
+  }
+  std::string out;
+  put16(out, body.size());
+  return out + body;
+}
+
+std::string write_answer(std::uint64_t call, std::string_view description) {
+  return write_message(CallerType::kAnswer, call, {{Parameter::kDescription, std::string(description)}});
+}
+
+std::string write_release(std::uint64_t call, int cause, std::optional<std::uint32_t> stay_away_ms) {
+  std::vector<std::pair<Parameter, std::string>> parameters;
+  if (stay_away_ms) parameters.emplace_back(Parameter::kStayAway, std::to_string(*stay_away_ms));
+  parameters.emplace_back(Parameter::kCause, std::string(1, static_cast<char>(cause)));
+  return write_message(CallerType::kRelease, call, parameters);
+}
+
+std::string write_released(std::uint64_t call) { return write_message(CallerType::kReleased, call, {}); }
+
+std::string write_test_passed(std::uint64_t call, bool passed) {
+  return write_message(CallerType::kTestResult, call,
+                       {{Parameter::kCause, std::string(1, static_cast<char>(passed ? 1 : 0))}});
+}
+
+std::string hex_id(std::uint64_t id) {
+  static const char kDigits[] = "0123456789abcdef";
+  std::string out(16, '0');
+  for (int i = 15; i >= 0; --i, id >>= 4) out[static_cast<std::size_t>(i)] = kDigits[id & 15];
+  return out;
+}
+
+std::optional<std::uint64_t> read_hex_id(std::string_view text) {
+  std::uint64_t id = 0;
+  if (text.size() != 16) return std::nullopt;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id, 16);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return id;
+}
+
+}  // namespace mintrock::platform
--- /dev/null
+++ b/src/platform/caller_codec.hpp
@@ -0,0 +1,106 @@
+// The binary messages between callers and an edge proxy: cut from a stream of bytes, read, written.
+//
+// Pure: bytes in, messages out. Every malformed form has a name, and no input makes it hold more than one
+// message.
+#ifndef MINTROCK_SRC_PLATFORM_CALLER_CODEC_HPP_
+#define MINTROCK_SRC_PLATFORM_CALLER_CODEC_HPP_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace mintrock::platform {
+
+inline constexpr std::size_t kMostMessage = 16 << 10;  // bytes of any message, its length field included
+
+enum class CallerType : std::uint8_t {
+  kSetup = 1,
+  kProgress = 6,
+  kAnswer = 9,
+  kRelease = 12,
+  kReleased = 16,
+  kTest = 52,
+  kTestResult = 53
+};
+
+enum class Parameter : std::uint8_t {
+  kClass = 3,
+  kLeft = 5,
+  kRetry = 9,
+  kNumber = 11,
+  kFigures = 13,
+  kStayAway = 15,
+  kCause = 31,
+  kDescription = 33
+};
+
+// Causes as both sides of the proxy write them.
+inline constexpr int kCauseNormal = 16;
+inline constexpr int kCauseNumberBusy = 17;
+inline constexpr int kCauseNoCircuit = 34;
+inline constexpr int kCauseTemporaryFailure = 41;
+inline constexpr int kCauseCongestion = 42;
+inline constexpr int kCauseUnavailable = 47;
+inline constexpr int kCauseInvalid = 100;  // contents that can't be used
+inline constexpr int kCauseTimer = 102;
+
+struct CallerMessage {
+  std::uint8_t type = 0;
+  std::uint64_t call = 0;
+  std::vector<std::pair<std::uint8_t, std::string_view>> parameters;  // into the cutter's buffer
+  std::string_view find(Parameter code) const;
+};
+
+// Cuts a stream into messages. After a fault the stream can't be read any further.
+class MessageCutter {
+ public:
+  void feed(std::string_view bytes) { buffer_.append(bytes); }
+  // The next whole message; its parameters are good until the next call of feed or next.
+  std::optional<CallerMessage> next();
+  const char* fault() const { return fault_; }  // null: none
+  bool partial() const { return at_ < buffer_.size(); }
+
+ private:
+  std::string buffer_;
+  std::size_t at_ = 0;
+  const char* fault_ = nullptr;
+};
+
+// A set-up as its caller wrote it, checked but for what only the settings tell.
+struct Setup {
+  std::uint64_t id = 0;
+  std::string service_class;
+  double left_s = 0;
+  bool redialled = false;
+  std::string number;     // passed on as it came
+  std::uint64_t key = 0;  // the same for the decisions; 0: none
+  double width = 1;
+  std::int64_t first_choice = -1;
+  bool was_cut = false;
+  std::string stands_at;  // it stands at this core server already; else empty
+  std::string description;
+};
+
+// Null with a fault's name in `why` where it can't be used.
+std::optional<Setup> read_setup(const CallerMessage& message, const char*& why);
+// The cause of a release; the normal one where it has none.
+int read_cause(const CallerMessage& message);
+
+std::string write_answer(std::uint64_t call, std::string_view description);
+std::string write_release(std::uint64_t call, int cause, std::optional<std::uint32_t> stay_away_ms = {});
+std::string write_released(std::uint64_t call);
+std::string write_test_passed(std::uint64_t call, bool passed);
+
+// For tests and stand-ins.
+std::string write_message(CallerType type, std::uint64_t call,
+                          const std::vector<std::pair<Parameter, std::string>>& parameters);
+
+std::string hex_id(std::uint64_t id);                             // 16 digits
+std::optional<std::uint64_t> read_hex_id(std::string_view text);  // exactly 16 digits
+
+}  // namespace mintrock::platform
+
+#endif  // MINTROCK_SRC_PLATFORM_CALLER_CODEC_HPP_
--- /dev/null
+++ b/src/platform/caller_side.cpp
@@ -0,0 +1,275 @@
+#include "platform/caller_side.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+#include <vector>
+
+namespace mintrock::platform {
+namespace {
+
+// A caller that has said nothing usable is told so, by a close, within 3 s of its connecting; this is sooner
+// by what a busy core may add.
+constexpr double kSilent = 2.0;  // s
+// Callers close a connection after 4 s without a call; one that is held beyond is closed here.
+constexpr double kIdle = 6.0;             // s
+constexpr std::uint32_t kMostFaults = 3;  // unusable messages until the connection is closed
+// An end is told within 8 s of the call's; one that came late is kept no longer than that.
+constexpr double kKeepEnd = 8.0;  // s
+constexpr std::size_t kMostEnds = 4096;
+constexpr double kNever = std::numeric_limits<double>::infinity();
+
+}  // namespace
+
+CallerSide::Connection* CallerSide::find(ConnectionId which) {
+  const auto found = connections_.find(which);
+  return found == connections_.end() ? nullptr : &found->second;
+}
+
+double CallerSide::due_of(const Connection& connection) const {
+  if (!connection.open.empty()) return kNever;
+  return connection.answered ? connection.active + kIdle : connection.since + kSilent;
+}
+
+void CallerSide::watch(ConnectionId which, const Connection& connection) {
+  double& at = due_at_[which];
+  const double due = due_of(connection);
+  if (at == due) return;
+  due_.erase({at, which});
+  at = due;
+  if (due < kNever) due_.emplace(due, which);
+}
+
+double CallerSide::deadline() const {
+  const double ends = ends_.empty() ? kNever : ends_.front().until;
+  return std::min(ends, due_.empty() ? kNever : due_.begin()->first);
+}
+
+void CallerSide::tick(double now) {
+  while (!ends_.empty() && ends_.front().until <= now) {
+    ends_.pop_front();
+    counts_.ends_dropped += 1;
+  }
+  while (!due_.empty() && due_.begin()->first <= now) {
+    const ConnectionId which = due_.begin()->second;
+    const Connection* connection = find(which);
+    if (connection == nullptr) {
+      due_.erase(due_.begin());
+      continue;
+    }
+    (connection->answered ? counts_.closed_idle : counts_.closed_silent) += 1;
+    close(which);
+  }
+}
+
+void CallerSide::opened(ConnectionId which, double now) {
+  counts_.connections += 1;
+  Connection& connection = connections_[which];
+  connection.since = connection.active = now;
+  watch(which, connection);
+}
+
+void CallerSide::received(ConnectionId from, std::string_view bytes, double now) {
+  Connection* connection = find(from);
+  if (connection == nullptr) return;
+  connection->cutter.feed(bytes);
+  while (connection != nullptr) {
+    const auto message = connection->cutter.next();
+    if (!message) break;
+    counts_.messages += 1;
+    take(from, *message, now);
+    connection = find(from);  // a fault may have closed it
+  }
+  if (connection == nullptr) return;
+  if (const char* what = connection->cutter.fault()) {
+    counts_.faults += 1;
+    ports_.caller_fault(from, what);
+    return close(from);
+  }
+  watch(from, *connection);
+}
+
+void CallerSide::take(ConnectionId from, const CallerMessage& message, double now) {
+  Connection& connection = *find(from);
+  switch (static_cast<CallerType>(message.type)) {
+    case CallerType::kSetup:
+      return take_setup(from, message, now);
+    case CallerType::kRelease: {
+      const auto owner = open_.find(message.call);
+      if (owner != open_.end() && owner->second != from) {
+        // Somebody else's open set-up.
+        return fault(from, message.call, "a release of another's set-up");
+      }
+      if (owner != open_.end()) {
+        connection.open.erase(message.call);
+        open_.erase(owner);
+        ports_.hang_up(message.call);
+        connection.active = now;
+        return;
+      }
+      if (ports_.hang_up(message.call)) {
+        ports_.send_to_caller(from, write_released(message.call));
+        connection.answered = true;
+        connection.active = now;
+      }
+      return;  // one that is over already: its end has been told, or is not owed
+    }
+    case CallerType::kTest:
+      ports_.send_to_caller(from, write_test_passed(message.call, true));
+      connection.answered = true;
+      connection.active = now;
+      return;
+    case CallerType::kProgress:
+    case CallerType::kReleased:
+      return;
+    default:
+      return fault(from, message.call, "unknown type");
+  }
+}
+
+void CallerSide::take_setup(ConnectionId from, const CallerMessage& message, double now) {
+  Connection& connection = *find(from);
+  const char* why = nullptr;
+  std::optional<Setup> setup = read_setup(message, why);
+  if (!setup) return fault(from, message.call, why);
+  const std::uint64_t id = setup->id;
+  const auto owner = open_.find(id);
+  if (owner != open_.end()) {
+    counts_.duplicates += 1;
+    if (owner->second == from) {
+      // Which of the two an answer was for could not be told: neither is served.
+      connection.open.erase(id);
+      open_.erase(owner);
+      ports_.hang_up(id);
+    }
+    return fault(from, id, "the id of an open set-up");
+  }
+  if (!setup->stands_at.empty()) {
+    if (const char* bad = ports_.take_over(*setup)) return fault(from, id, bad);
+    connection.answered = true;  // none is owed
+    return carry(from, connection, now);
+  }
+  counts_.setups += 1;
+  connection.open.insert(id);
+  open_.emplace(id, from);
+  connection.active = now;
+  if (const char* bad = ports_.offer(std::move(*setup))) {
+    open_.erase(id);
+    if (Connection* again = find(from)) again->open.erase(id);
+    return fault(from, id, bad);
+  }
+  if (Connection* again = find(from)) carry(from, *again, now);
+}
+
+// Calls come on it: what ended meanwhile is told here.
+void CallerSide::carry(ConnectionId which, Connection& connection, double now) {
+  connection.carries = true;
+  connection.active = now;
+  for (const End& each : std::exchange(ends_, {})) {
+    ports_.send_to_caller(which, write_release(each.id, each.cause));
+    connection.answered = true;
+  }
+}
+
+void CallerSide::fault(ConnectionId from, std::uint64_t id, const char* what) {
+  counts_.faults += 1;
+  ports_.caller_fault(from, what);
+  Connection& connection = *find(from);
+  connection.faults += 1;
+  if (id != 0) {
+    ports_.send_to_caller(from, write_release(id, kCauseInvalid));
+    connection.answered = true;
+  }
+  if (id == 0 || connection.faults >= kMostFaults) close(from);
+}
+
+void CallerSide::lost(ConnectionId which, double) {
+  const auto found = connections_.find(which);
+  if (found == connections_.end()) return;
+  const std::set<std::uint64_t> open = std::move(found->second.open);
+  connections_.erase(found);
+  due_.erase({due_at_[which], which});
+  due_at_.erase(which);
+  if (teller_ == which) teller_ = 0;
+  for (const std::uint64_t id : open) {
+    open_.erase(id);
+    ports_.hang_up(id);
+  }
+}
+
+void CallerSide::close(ConnectionId which) {
+  lost(which, 0);
+  ports_.close_caller(which);
+}
+
+ConnectionId CallerSide::spare_connection() const {
+  ConnectionId best = 0;
+  std::pair<bool, double> lowest{true, kNever};
+  for (const auto& [which, connection] : connections_) {
+    if (!connection.open.empty()) continue;
+    const std::pair<bool, double> rank{connection.answered, connection.active};
+    if (best == 0 || rank < lowest || (rank == lowest && which < best)) {
+      best = which;
+      lowest = rank;
+    }
+  }
+  return best;
+}
+
+void CallerSide::close_for_room(ConnectionId which) {
+  counts_.closed_for_room += 1;
+  close(which);
+}
+
+void CallerSide::answer(std::uint64_t id, std::string_view description, double now) {
+  const auto owner = open_.find(id);
+  if (owner == open_.end()) return;
+  const ConnectionId to = owner->second;
+  open_.erase(owner);
+  Connection* connection = find(to);
+  if (connection == nullptr) return;
+  connection->open.erase(id);
+  connection->answered = true;
+  connection->active = now;
+  connection->served = true;
+  teller_ = to;
+  ports_.send_to_caller(to, write_answer(id, description));
+  watch(to, *connection);
+}
+
+void CallerSide::refuse(std::uint64_t id, int cause, std::optional<std::uint32_t> stay_away_ms, double now) {
+  const auto owner = open_.find(id);
+  if (owner == open_.end()) return;
+  const ConnectionId to = owner->second;
+  open_.erase(owner);
+  Connection* connection = find(to);
+  if (connection == nullptr) return;
+  connection->open.erase(id);
+  connection->answered = true;
+  connection->active = now;
+  ports_.send_to_caller(to, write_release(id, cause, stay_away_ms));
+  watch(to, *connection);
+}
+
+void CallerSide::end(std::uint64_t id, int cause, double now) {
+  ConnectionId to = teller_;
+  if (to == 0) {
+    std::pair<bool, double> best{false, -1};
+    for (const auto& [which, connection] : connections_) {
+      const std::pair<bool, double> rank{connection.served, connection.active};
+      if (!connection.carries || rank <= best) continue;
+      best = rank;
+      to = which;
+    }
+    if (best.first) teller_ = to;  // one that none was served on may be no caller's
+  }
+  if (to != 0) return ports_.send_to_caller(to, write_release(id, cause));
+  counts_.ends_kept += 1;
+  if (ends_.size() >= kMostEnds) {
+    ends_.pop_front();
+    counts_.ends_dropped += 1;
+  }
+  ends_.push_back({id, cause, now + kKeepEnd});
+}
+
+}  // namespace mintrock::platform
--- /dev/null
+++ b/src/platform/caller_side.hpp
@@ -0,0 +1,119 @@
+// The callers of an edge proxy: their connections, whose set-up is open on which, what is answered where, the
+// ends of calls that stand and are told on any connection, and which connections are closed.
+//
+// Pure: bytes and times in, calls of CallerPorts out; no sockets, no clock. Connections are numbers that the
+// shell gives. Bounded: by the connections that the shell admits, the set-ups that the desk takes, and the
+// ends that are kept for want of a connection.
+#ifndef MINTROCK_SRC_PLATFORM_CALLER_SIDE_HPP_
+#define MINTROCK_SRC_PLATFORM_CALLER_SIDE_HPP_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "platform/caller_codec.hpp"
+
+namespace mintrock::platform {
+
+using ConnectionId = std::uint64_t;  // never used again
+
+class CallerPorts {
+ public:
+  virtual ~CallerPorts() = default;
+  virtual void send_to_caller(ConnectionId to, std::string_view bytes) = 0;
+  // What was written arrives; the shell calls nothing of this connection's any more.
+  virtual void close_caller(ConnectionId which) = 0;
+  // A set-up to be answered, once, by answer() or refuse(), maybe before this returns. A fault's name where
+  // it can't be taken; then nothing more is owed for it.
+  virtual const char* offer(Setup setup) = 0;
+  // A call that stands at a core server already is made known.
+  virtual const char* take_over(const Setup& setup) = 0;
+  // The caller gives a set-up up, or releases a call that stands. False: it is not known.
+  virtual bool hang_up(std::uint64_t id) = 0;
+  virtual void caller_fault(ConnectionId from, const char* what) = 0;  // for the log
+};
+
+struct CallerCounts {
+  std::uint64_t connections = 0;
+  std::uint64_t messages = 0;
+  std::uint64_t setups = 0;
+  std::uint64_t faults = 0;
+  std::uint64_t duplicates = 0;     // the id of an open set-up
+  std::uint64_t closed_silent = 0;  // nothing usable came in time
+  std::uint64_t closed_idle = 0;
+  std::uint64_t closed_for_room = 0;
+  std::uint64_t ends_kept = 0;     // told later, for want of a connection
+  std::uint64_t ends_dropped = 0;  // never told
+};
+
+class CallerSide {
+ public:
+  explicit CallerSide(CallerPorts& ports) : ports_(ports) {}
+
+  // ---- From the shell ----
+  void opened(ConnectionId which, double now);
+  void received(ConnectionId from, std::string_view bytes, double now);
+  void lost(ConnectionId which, double now);
+  void tick(double now);
+  double deadline() const;
+  // The connection to close for a new one when there is no room: the one that has said nothing for longest,
+  // else the one that has carried nothing for longest; 0: each has an open set-up.
+  ConnectionId spare_connection() const;
+  void close_for_room(ConnectionId which);
+
+  // ---- From the desk ----
+  void answer(std::uint64_t id, std::string_view description, double now);
+  void refuse(std::uint64_t id, int cause, std::optional<std::uint32_t> stay_away_ms, double now);
+  // A call that stood is over: told on any connection that calls came on, kept until there is one.
+  void end(std::uint64_t id, int cause, double now);
+
+  std::size_t connections() const { return connections_.size(); }
+  std::size_t open() const { return open_.size(); }
+  std::size_t kept_ends() const { return ends_.size(); }
+  const CallerCounts& counts() const { return counts_; }
+
+ private:
+  struct Connection {
+    MessageCutter cutter;
+    std::set<std::uint64_t> open;  // set-ups that are owed an answer here
+    double since = 0;
+    double active = 0;      // when it last carried something of a call's
+    bool answered = false;  // something was said to it: its caller is not kept waiting
+    bool carries = false;   // usable set-ups came on it: ends of calls may be told here
+    bool served = false;    // and one was served: no doubt that it is a caller's
+    std::uint32_t faults = 0;
+  };
+  struct End {
+    std::uint64_t id = 0;
+    int cause = 0;
+    double until = 0;
+  };
+
+  void take(ConnectionId from, const CallerMessage& message, double now);
+  void take_setup(ConnectionId from, const CallerMessage& message, double now);
+  // Answers what can't be used, and closes the connection that keeps sending it.
+  void fault(ConnectionId from, std::uint64_t id, const char* what);
+  void close(ConnectionId which);
+  Connection* find(ConnectionId which);
+  void carry(ConnectionId which, Connection& connection, double now);
+  double due_of(const Connection& connection) const;
+  void watch(ConnectionId which, const Connection& connection);
+
+  CallerPorts& ports_;
+  std::unordered_map<ConnectionId, Connection> connections_;
+  std::unordered_map<std::uint64_t, ConnectionId> open_;  // where each open set-up is owed its answer
+  std::set<std::pair<double, ConnectionId>> due_;         // when each quiet connection is looked at
+  std::unordered_map<ConnectionId, double> due_at_;
+  ConnectionId teller_ = 0;  // where ends are told; 0: to be looked for
+  std::deque<End> ends_;
+  CallerCounts counts_;
+};
+
+}  // namespace mintrock::platform
+
+#endif  // MINTROCK_SRC_PLATFORM_CALLER_SIDE_HPP_
--- /dev/null
+++ b/src/platform/core_links.cpp
@@ -0,0 +1,325 @@
+#include "platform/core_links.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace mintrock::platform {
+namespace {
+
+constexpr std::size_t kKept = 2;     // connections kept up to a ready server: the group's state comes on them
+constexpr double kRetryFirst = 0.1;  // s until a lost connection is made anew, doubling
+constexpr double kRetryLongest = 1.0;
+// With this long nothing heard from a server that holds calls, a new connection shows whether it is there.
+constexpr double kQuiet = 1.5;  // s
+// No connection has come up for this long: the machine has vanished, and its calls are over (told within 8
+// s).
+constexpr double kVanished = 3.0;     // s
+constexpr double kOweRelease = 30.0;  // s; by then the call has ended there by itself
+constexpr std::size_t kMostOwed = 4096;
+constexpr std::size_t kMostGivenUp = 1024;  // ids of late answers that one connection remembers
+constexpr double kNever = std::numeric_limits<double>::infinity();
+
+}  // namespace
+
+CoreLinks::Connection& CoreLinks::open_connection(double now) {
+  const ConnectionId id = ports_.connect_core(server_);
+  counts_.connections += 1;
+  Connection& connection = connections_[id];
+  connection.since = now;
+  return connection;
+}
+
+// An idle connection, else a new one, else the one with the fewest set-ups.
+ConnectionId CoreLinks::pick(double now) {
+  ConnectionId best = 0;
+  std::size_t fewest = 0;
+  for (const auto& [id, connection] : connections_) {
+    const std::size_t load = connection.open.size() + connection.waiting.size() + (connection.up ? 0 : 1);
+    if (best == 0 || load < fewest) {
+      best = id;
+      fewest = load;
+    }
+  }
+  if (best != 0 && (fewest == 0 || connections_.size() >= settings_.most)) return best;
+  if (address_lost_) return best;
+  open_connection(now);
+  return connections_.rbegin()->first;
+}
+
+ConnectionId CoreLinks::any_up() const {
+  for (const auto& [id, connection] : connections_) {
+    if (connection.up) return id;
+  }
+  return 0;
+}
+
+void CoreLinks::set_up(const Attempt& who, std::uint64_t id, std::string line, double now) {
+  const ConnectionId on = pick(now);
+  if (on == 0) return ports_.core_ended(who, Outcome::kConnectFailed, Cause::kNone, 0, {});
+  Connection& connection = connections_[on];
+  Out& out = out_[id];
+  out = {who, on, connection.up, std::move(line)};
+  // An earlier attempt of the same call may have been given up here: its late answer came before this one.
+  connection.given_up.erase(id);
+  if (connection.up) {
+    connection.open.insert(id);
+    ports_.send_to_core(on, out.line);
+    out.line.clear();
+  } else {
+    connection.waiting.push_back(id);
+  }
+}
+
+void CoreLinks::release(std::uint64_t id, ConnectionId on, double now) {
+  if (on == 0) on = any_up();
+  if (on != 0) return ports_.send_to_core(on, write_core_release(id, 16));
+  if (owed_.size() >= kMostOwed) owed_.pop_front();
+  owed_.push_back({id, now + kOweRelease});
+  keep_up(now);
+}
+
+void CoreLinks::give_up(std::uint64_t id, double now) {
+  const auto found = out_.find(id);
+  if (found == out_.end()) {
+    if (standing_.erase(id) != 0) release(id, 0, now);
+    return;
+  }
+  const ConnectionId on = found->second.on;
+  const bool written = found->second.written;
+  out_.erase(found);
+  Connection& connection = connections_[on];
+  if (!written) {
+    const auto waits = std::find(connection.waiting.begin(), connection.waiting.end(), id);
+    if (waits != connection.waiting.end()) connection.waiting.erase(waits);
+    return;
+  }
+  connection.open.erase(id);
+  if (connection.given_up.size() >= kMostGivenUp) connection.given_up.clear();
+  connection.given_up.insert(id);
+  release(id, on, now);
+}
+
+void CoreLinks::end(std::uint64_t id, Outcome outcome, double) {
+  const auto found = out_.find(id);
+  if (found == out_.end()) return;
+  const Attempt who = found->second.who;
+  out_.erase(found);
+  ports_.core_ended(who, outcome, Cause::kNone, 0, {});
+}
+
+bool CoreLinks::wanted() const {
+  if (address_lost_) return false;
+  return state_ == ServerEntry::State::kReady || !idle();
+}
+
+void CoreLinks::keep_up(double now) {
+  const std::size_t want = state_ == ServerEntry::State::kReady ? std::min(kKept, settings_.most) : 1;
+  if (!wanted() || connections_.size() >= want || now < retry_at_) return;
+  while (connections_.size() < want) open_connection(now);
+  retry_gap_ = retry_gap_ == 0 ? kRetryFirst : std::min(2 * retry_gap_, kRetryLongest);
+  retry_at_ = now + retry_gap_;
+}
+
+void CoreLinks::set_state(ServerEntry::State state, double now) {
+  state_ = state;
+  if (state != ServerEntry::State::kReady) {
+    // A set-up that waits for its connection must not go out once the connection stands (rule three).
+    std::vector<std::uint64_t> waiting;
+    for (auto& [id, connection] : connections_) {
+      waiting.insert(waiting.end(), connection.waiting.begin(), connection.waiting.end());
+      connection.waiting.clear();
+    }
+    for (const std::uint64_t id : waiting) end(id, Outcome::kNotSent, now);
+    if (state == ServerEntry::State::kGone && idle()) {
+      while (!connections_.empty()) {
+        const ConnectionId id = connections_.begin()->first;
+        connections_.erase(connections_.begin());
+        ports_.close_core(id);
+      }
+    }
+  }
+  keep_up(now);
+}
+
+void CoreLinks::moved_away(double now) {
+  address_lost_ = true;
+  if (any_up() == 0) dead(now);
+}
+
+void CoreLinks::up(ConnectionId which, double now) {
+  const auto found = connections_.find(which);
+  if (found == connections_.end()) return;
+  Connection& connection = found->second;
+  connection.up = true;
+  heard_ = now;
+  silent_since_ = -1;
+  retry_gap_ = 0;
+  // Before anything new goes out: a call may be set up here again under its own id.
+  for (const Owed& each : std::exchange(owed_, {})) {
+    ports_.send_to_core(which, write_core_release(each.id, 16));
+  }
+  for (const std::uint64_t id : std::exchange(connection.waiting, {})) {
+    const auto out = out_.find(id);
+    if (out == out_.end()) continue;
+    connection.open.insert(id);
+    out->second.written = true;
+    ports_.send_to_core(which, out->second.line);
+    out->second.line.clear();
+  }
+}
+
+void CoreLinks::down(ConnectionId which, bool refused, double now) {
+  const auto found = connections_.find(which);
+  if (found == connections_.end()) return;
+  (refused ? counts_.refused : counts_.lost) += 1;
+  drop(which, refused, now);
+}
+
+void CoreLinks::drop(ConnectionId which, bool refused, double now) {
+  const auto found = connections_.find(which);
+  const Connection gone = std::move(found->second);
+  connections_.erase(found);
+  // A refused connection proves that no process is there: what stood there was cut with it.
+  // Nor can one whose address is another's now be asked any more.
+  if ((refused || address_lost_) && any_up() == 0) dead(now);
+  for (const std::uint64_t id : gone.open) {
+    // It may stand there, unheard: whoever may hold it is told to let go.
+    release(id, 0, now);
+    end(id, Outcome::kReset, now);
+  }
+  // Written to nobody: they never ran.
+  for (const std::uint64_t id : gone.waiting) end(id, Outcome::kConnectFailed, now);
+  keep_up(now);
+}
+
+// The process is gone: its calls are cut, and nothing there can be released any more.
+void CoreLinks::dead(double) {
+  if (!standing_.empty()) counts_.given_up_for_dead += 1;
+  owed_.clear();
+  for (const std::uint64_t id : std::exchange(standing_, {})) ports_.core_over(server_, id, true, {});
+}
+
+void CoreLinks::spoilt(ConnectionId which, const char* what, double now) {
+  counts_.spoilt += 1;
+  ports_.core_fault(server_, what);
+  ports_.close_core(which);
+  drop(which, false, now);
+}
+
+void CoreLinks::received(ConnectionId from, std::string_view bytes, double now) {
+  auto found = connections_.find(from);
+  if (found == connections_.end()) return;
+  heard_ = now;
+  found->second.cutter.feed(bytes);
+  while (found != connections_.end()) {
+    const auto line = found->second.cutter.next();
+    if (!line) {
+      if (found->second.cutter.too_long()) spoilt(from, "a line without end", now);
+      return;
+    }
+    const char* why = nullptr;
+    const auto message = read_core_message(*line, why);
+    if (!message) return spoilt(from, why, now);
+    take(from, *message, now);
+    found = connections_.find(from);
+  }
+}
+
+void CoreLinks::take(ConnectionId from, const CoreMessage& message, double now) {
+  Connection& connection = connections_[from];
+  using Type = CoreMessage::Type;
+  const auto out = out_.find(message.id);
+  // What comes on another connection than the attempt's own belongs to an earlier attempt.
+  const bool of_attempt = out != out_.end() && out->second.on == from && out->second.written;
+  switch (message.type) {
+    case Type::kProgress:
+    case Type::kReleased:
+    case Type::kTestResult:
+      return;
+    case Type::kState:
+      return ports_.core_load(server_, message.report);
+    case Type::kAnswer: {
+      if (!of_attempt) {
+        (standing_.count(message.id) != 0             ? counts_.doubled
+         : connection.given_up.count(message.id) != 0 ? counts_.late
+                                                      : counts_.stranger) += 1;
+        return;
+      }
+      const Attempt who = out->second.who;
+      connection.open.erase(message.id);
+      out_.erase(out);
+      standing_.insert(message.id);
+      return ports_.core_stood(who, message.description, message.report);
+    }
+    case Type::kRelease: {
+      if (of_attempt) {
+        const Attempt who = out->second.who;
+        connection.open.erase(message.id);
+        out_.erase(out);
+        const Ending ending = ending_before_answer(message.cause, message.note);
+        if (ending.outcome == Outcome::kReset) release(message.id, from, now);
+        return ports_.core_ended(who, ending.outcome, ending.cause, message.waited_s, message.report);
+      }
+      if (connection.given_up.erase(message.id) != 0 || out != out_.end()) {
+        return ports_.core_load(server_, message.report);
+      }
+      standing_.erase(message.id);
+      return ports_.core_over(server_, message.id, message.cause != 16, message.report);
+    }
+  }
+}
+
+double CoreLinks::deadline() const {
+  double due = kNever;
+  for (const auto& [id, connection] : connections_) {
+    if (!connection.up) due = std::min(due, connection.since + settings_.connect_s);
+  }
+  if (wanted()) {
+    const std::size_t want = state_ == ServerEntry::State::kReady ? std::min(kKept, settings_.most) : 1;
+    if (connections_.size() < want) due = std::min(due, retry_at_);
+  }
+  if (!idle() && !address_lost_) due = std::min(due, std::max(heard_ + kQuiet, retry_at_));
+  return due;
+}
+
+void CoreLinks::tick(double now) {
+  std::vector<ConnectionId> not_up;
+  for (const auto& [id, connection] : connections_) {
+    if (!connection.up && now >= connection.since + settings_.connect_s) not_up.push_back(id);
+  }
+  for (const ConnectionId id : not_up) {
+    counts_.not_up += 1;
+    if (silent_since_ < 0) silent_since_ = now;
+    ports_.close_core(id);
+    drop(id, false, now);
+  }
+  if (silent_since_ >= 0 && now >= silent_since_ + kVanished && now >= heard_ + kVanished) {
+    dead(now);
+    silent_since_ = -1;
+    std::vector<ConnectionId> quiet;
+    for (const auto& [id, connection] : connections_) quiet.push_back(id);
+    for (const ConnectionId id : quiet) {
+      ports_.close_core(id);
+      drop(id, false, now);
+    }
+  }
+  while (!owed_.empty() && owed_.front().until <= now) owed_.pop_front();
+  keep_up(now);
+  if (!idle() && !address_lost_ && now >= heard_ + kQuiet && now >= retry_at_) {
+    // Is it there at all? A new connection tells, and brings the group's state. An old one makes room.
+    if (connections_.size() >= std::min(kKept, settings_.most)) {
+      for (const auto& [id, connection] : connections_) {
+        if (!connection.open.empty() || !connection.waiting.empty() || !connection.up) continue;
+        const ConnectionId old = id;
+        ports_.close_core(old);
+        connections_.erase(old);
+        break;
+      }
+    }
+    if (connections_.size() < settings_.most) open_connection(now);
+    retry_at_ = now + kRetryLongest;
+  }
+}
+
+}  // namespace mintrock::platform
--- /dev/null
+++ b/src/platform/core_links.hpp
@@ -0,0 +1,149 @@
+// The connections to one core server, and what it holds of this proxy's calls: set-ups that wait for a
+// connection, set-ups out and on which connection, calls that stand, releases that it is owed.
+//
+// Pure: bytes and times in, calls of CorePorts out; no sockets, no clock. Closing a connection gives up every
+// set-up on it, so each gets one of its own while there is room, and a spoilt answer takes few with it. Calls
+// that stand belong to no connection: they end by what the server says on any, or when it is known to be
+// gone.
+#ifndef MINTROCK_SRC_PLATFORM_CORE_LINKS_HPP_
+#define MINTROCK_SRC_PLATFORM_CORE_LINKS_HPP_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "mintrock/controller.hpp"
+#include "platform/core_codec.hpp"
+
+namespace mintrock::platform {
+
+using ConnectionId = std::uint64_t;  // never used again
+
+struct Attempt {
+  CallId call = 0;
+  std::uint32_t attempt = 0;
+};
+
+class CorePorts {
+ public:
+  virtual ~CorePorts() = default;
+  // Begins a connection; what becomes of it is told by up() or down(), never before this returns.
+  virtual ConnectionId connect_core(ServerId server) = 0;
+  virtual void send_to_core(ConnectionId to, std::string_view bytes) = 0;
+  virtual void close_core(ConnectionId which) = 0;  // the shell tells nothing of it any more
+  virtual void core_stood(const Attempt& who, std::string description, const Report& report) = 0;
+  virtual void core_ended(const Attempt& who, Outcome outcome, Cause cause, double waited_s,
+                          const Report& report) = 0;
+  // A call that stood, or that this proxy knows nothing of, has ended there, or was cut.
+  virtual void core_over(ServerId server, std::uint64_t id, bool cut, const Report& report) = 0;
+  virtual void core_load(ServerId server, const Report& report) = 0;
+  virtual void core_fault(ServerId server, const char* what) = 0;  // for the log
+};
+
+struct CoreCounts {
+  std::uint64_t connections = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t not_up = 0;    // connections that did not come up in time
+  std::uint64_t lost = 0;      // connections closed or reset by the other side
+  std::uint64_t spoilt = 0;    // connections closed here over what came on them
+  std::uint64_t late = 0;      // answers of attempts that were over
+  std::uint64_t doubled = 0;   // answers of calls that stand
+  std::uint64_t stranger = 0;  // answers under an id that nothing is out for
+  std::uint64_t given_up_for_dead = 0;
+};
+
+class CoreLinks {
+ public:
+  struct Settings {
+    double connect_s = 0.5;
+    std::size_t most = 8;  // connections
+  };
+  CoreLinks(ServerId server, const Settings& settings, CorePorts& ports, CoreCounts& counts)
+      : server_(server), settings_(settings), ports_(ports), counts_(counts) {}
+
+  // ---- From the desk ----
+  void set_up(const Attempt& who, std::uint64_t id, std::string line, double now);
+  // Frees what the server holds of the call: a set-up is given up, a call that stands is cut.
+  void give_up(std::uint64_t id, double now);
+  // It stands there already: known from its caller.
+  void take_over(std::uint64_t id) { standing_.insert(id); }
+
+  // ---- From the list ----
+  // Ready: connections are kept up. Otherwise nothing that waits may go out any more.
+  void set_state(ServerEntry::State state, double now);
+  // Its address is another server's now: no new connection may be made there.
+  void moved_away(double now);
+
+  // ---- From the shell ----
+  void up(ConnectionId which, double now);
+  void down(ConnectionId which, bool refused, double now);
+  void received(ConnectionId from, std::string_view bytes, double now);
+  void tick(double now);
+  double deadline() const;
+
+  bool idle() const { return out_.empty() && standing_.empty() && owed_.empty(); }
+  std::size_t connections() const { return connections_.size(); }
+  std::size_t out() const { return out_.size(); }
+  std::size_t standing() const { return standing_.size(); }
+  std::size_t owed() const { return owed_.size(); }
+
+ private:
+  struct Connection {
+    bool up = false;
+    double since = 0;
+    LineCutter cutter;
+    std::set<std::uint64_t> open;       // set-ups written, unanswered
+    std::deque<std::uint64_t> waiting;  // set-ups to be written once it is up
+    std::unordered_set<std::uint64_t>
+        given_up;  // answers of these are late; bounded by the connection's life
+  };
+  struct Out {
+    Attempt who;
+    ConnectionId on = 0;
+    bool written = false;
+    std::string line;
+  };
+  struct Owed {
+    std::uint64_t id = 0;
+    double until = 0;
+  };
+
+  Connection& open_connection(double now);
+  ConnectionId pick(double now);
+  ConnectionId any_up() const;
+  void take(ConnectionId from, const CoreMessage& message, double now);
+  void spoilt(ConnectionId which, const char* what, double now);
+  // The connection is gone: what was out on it is a reset each, once; what waited goes elsewhere or never
+  // ran.
+  void drop(ConnectionId which, bool refused, double now);
+  void release(std::uint64_t id, ConnectionId on, double now);
+  void end(std::uint64_t id, Outcome outcome, double now);
+  void dead(double now);
+  bool wanted() const;
+  void keep_up(double now);
+
+  ServerId server_;
+  Settings settings_;
+  CorePorts& ports_;
+  CoreCounts& counts_;
+  ServerEntry::State state_ = ServerEntry::State::kReady;
+  bool address_lost_ = false;
+  std::map<ConnectionId, Connection> connections_;
+  std::unordered_map<std::uint64_t, Out> out_;
+  std::unordered_set<std::uint64_t> standing_;
+  std::deque<Owed> owed_;  // releases that no connection could carry yet
+  double heard_ = 0;       // when anything came from it
+  double retry_at_ = 0;    // no connection is begun by itself before this
+  double retry_gap_ = 0;
+  double silent_since_ = -1;  // connections have not come up since then; below 0: they do
+};
+
+}  // namespace mintrock::platform
+
+#endif  // MINTROCK_SRC_PLATFORM_CORE_LINKS_HPP_
--- /dev/null
+++ b/src/platform/topology.cpp
@@ -0,0 +1,91 @@
+#include "platform/topology.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace mintrock::platform {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMostHosts = 10000;
+
+std::string text(const json& from, const char* key, std::size_t most) {
+  const auto found = from.find(key);
+  if (found == from.end() || !found->is_string()) throw std::runtime_error(std::string(key) + " is no text");
+  const auto& value = found->get_ref<const std::string&>();
+  if (value.empty() || value.size() > most) {
+    throw std::runtime_error(std::string(key) + " is empty or too long");
+  }
+  return value;
+}
+
+double number(const json& from, const char* key, double otherwise, double most) {
+  const auto found = from.find(key);
+  if (found == from.end() || found->is_null()) return otherwise;
+  if (!found->is_number()) throw std::runtime_error(std::string(key) + " is no number");
+  const double value = found->get<double>();
+  if (!std::isfinite(value) || value < 0 || value > most) {
+    throw std::runtime_error(std::string(key) + " is out of range");
+  }
+  return value;
+}
+
+list::Entry parse_host(const json& from, const std::vector<std::string>& kinds) {
+  if (!from.is_object()) throw std::runtime_error("no object");
+  list::Entry entry;
+  entry.identity = text(from, "host", 255);
+  const std::string health = text(from, "health", 40);
+  if (health == "SERVING") {
+    entry.state = ServerEntry::State::kReady;
+  } else if (health == "DRAINING") {
+    entry.state = ServerEntry::State::kDraining;
+  } else if (health == "DELETED") {
+    entry.state = ServerEntry::State::kGone;
+  } else {
+    throw std::runtime_error("health is none of SERVING, DRAINING, DELETED");
+  }
+  if (entry.state != ServerEntry::State::kGone || from.contains("dial"))
+    entry.address = text(from, "dial", 64);
+  entry.node = static_cast<std::uint32_t>(number(from, "block", 0, 65535));
+  if (from.contains("class")) {
+    const auto found = std::find(kinds.begin(), kinds.end(), text(from, "class", 255));
+    entry.kind = static_cast<std::uint32_t>(found - kinds.begin());  // one untold: a kind of its own
+  }
+  entry.weight = number(from, "share", 1, 1e9);
+  entry.started_at = number(from, "born_ms", 0, 1e15) / 1000;
+  return entry;
+}
+
+}  // namespace
+
+TopologyEvent parse_topology_event(const std::string& event, const std::vector<std::string>& kinds) {
+  const json parsed = json::parse(event, nullptr, false);
+  if (!parsed.is_object()) throw std::runtime_error("the event is no JSON object");
+  TopologyEvent out;
+  const auto offset = parsed.find("offset");
+  if (offset == parsed.end() || !offset->is_number_unsigned()) {
+    throw std::runtime_error("the event has no number");
+  }
+  out.offset = out.news.revision = offset->get<std::uint64_t>();
+  const auto topology = parsed.find("topology");
+  if (topology == parsed.end() || !topology->is_object()) throw std::runtime_error("no topology");
+  const auto whole = topology->find("whole");
+  out.news.full = whole != topology->end() && whole->is_boolean() && whole->get<bool>();
+  const auto hosts = topology->find("hosts");
+  if (hosts == topology->end() || !hosts->is_array() || hosts->size() > kMostHosts) {
+    throw std::runtime_error("hosts are missing, or too many");
+  }
+  for (std::size_t i = 0; i < hosts->size(); ++i) {
+    try {
+      out.news.entries.push_back(parse_host((*hosts)[i], kinds));
+    } catch (const std::exception& error) {
+      out.news.faults.push_back("host " + std::to_string(i) + ": " + error.what());
+    }
+  }
+  return out;
+}
+
+}  // namespace mintrock::platform
