--- a/src/platform/caller_codec.cpp
+++ b/src/platform/caller_codec.cpp
@@ -36,7 +36,7 @@
   return key;
 }
 
-const char* read_figures(std::string_view text, Setup& out) {
+const char* read_figures(std::string_view text, CallSetup& out) {
   while (!text.empty()) {
     const std::size_t end = std::min(text.find(';'), text.size());
     const std::string_view item = text.substr(0, end);
@@ -127,8 +127,8 @@
   return message;
 }
 
-std::optional<Setup> read_setup(const CallerMessage& message, const char*& why) {
-  Setup out;
+std::optional<CallSetup> read_setup(const CallerMessage& message, const char*& why) {
+  CallSetup out;
   out.id = message.call;
   const auto fault = [&](const char* what) {
     why = what;
--- a/src/platform/caller_codec.hpp
+++ b/src/platform/caller_codec.hpp
@@ -70,7 +70,7 @@
 };
 
 // A set-up as its caller wrote it, checked but for what only the settings tell.
-struct Setup {
+struct CallSetup {
   std::uint64_t id = 0;
   std::string service_class;
   double left_s = 0;
@@ -85,7 +85,7 @@
 };
 
 // Null with a fault's name in `why` where it can't be used.
-std::optional<Setup> read_setup(const CallerMessage& message, const char*& why);
+std::optional<CallSetup> read_setup(const CallerMessage& message, const char*& why);
 // The cause of a release; the normal one where it has none.
 int read_cause(const CallerMessage& message);
 
--- a/src/platform/caller_side.cpp
+++ b/src/platform/caller_side.cpp
@@ -31,12 +31,11 @@
   return connection.answered ? connection.active + kIdle : connection.since + kSilent;
 }
 
-void CallerSide::watch(ConnectionId which, const Connection& connection) {
-  double& at = due_at_[which];
+void CallerSide::watch(ConnectionId which, Connection& connection) {
   const double due = due_of(connection);
-  if (at == due) return;
-  due_.erase({at, which});
-  at = due;
+  if (connection.due == due) return;
+  due_.erase({connection.due, which});
+  connection.due = due;
   if (due < kNever) due_.emplace(due, which);
 }
 
@@ -52,12 +51,7 @@
   }
   while (!due_.empty() && due_.begin()->first <= now) {
     const ConnectionId which = due_.begin()->second;
-    const Connection* connection = find(which);
-    if (connection == nullptr) {
-      due_.erase(due_.begin());
-      continue;
-    }
-    (connection->answered ? counts_.closed_idle : counts_.closed_silent) += 1;
+    (find(which)->answered ? counts_.closed_idle : counts_.closed_silent) += 1;
     close(which);
   }
 }
@@ -130,7 +124,7 @@
 void CallerSide::take_setup(ConnectionId from, const CallerMessage& message, double now) {
   Connection& connection = *find(from);
   const char* why = nullptr;
-  std::optional<Setup> setup = read_setup(message, why);
+  std::optional<CallSetup> setup = read_setup(message, why);
   if (!setup) return fault(from, message.call, why);
   const std::uint64_t id = setup->id;
   const auto owner = open_.find(id);
@@ -187,9 +181,8 @@
   const auto found = connections_.find(which);
   if (found == connections_.end()) return;
   const std::set<std::uint64_t> open = std::move(found->second.open);
+  due_.erase({found->second.due, which});
   connections_.erase(found);
-  due_.erase({due_at_[which], which});
-  due_at_.erase(which);
   if (teller_ == which) teller_ = 0;
   for (const std::uint64_t id : open) {
     open_.erase(id);
--- a/src/platform/caller_side.hpp
+++ b/src/platform/caller_side.hpp
@@ -9,7 +9,7 @@
 
 #include <cstdint>
 #include <deque>
-#include <map>
+#include <limits>
 #include <optional>
 #include <set>
 #include <string>
@@ -30,9 +30,9 @@
   virtual void close_caller(ConnectionId which) = 0;
   // A set-up to be answered, once, by answer() or refuse(), maybe before this returns. A fault's name where
   // it can't be taken; then nothing more is owed for it.
-  virtual const char* offer(Setup setup) = 0;
+  virtual const char* offer(CallSetup setup) = 0;
   // A call that stands at a core server already is made known.
-  virtual const char* take_over(const Setup& setup) = 0;
+  virtual const char* take_over(const CallSetup& setup) = 0;
   // The caller gives a set-up up, or releases a call that stands. False: it is not known.
   virtual bool hang_up(std::uint64_t id) = 0;
   virtual void caller_fault(ConnectionId from, const char* what) = 0;  // for the log
@@ -87,6 +87,7 @@
     bool carries = false;   // usable set-ups came on it: ends of calls may be told here
     bool served = false;    // and one was served: no doubt that it is a caller's
     std::uint32_t faults = 0;
+    double due = std::numeric_limits<double>::infinity();  // its place in due_
   };
   struct End {
     std::uint64_t id = 0;
@@ -102,14 +103,13 @@
   Connection* find(ConnectionId which);
   void carry(ConnectionId which, Connection& connection, double now);
   double due_of(const Connection& connection) const;
-  void watch(ConnectionId which, const Connection& connection);
+  void watch(ConnectionId which, Connection& connection);
 
   CallerPorts& ports_;
   std::unordered_map<ConnectionId, Connection> connections_;
   std::unordered_map<std::uint64_t, ConnectionId> open_;  // where each open set-up is owed its answer
   std::set<std::pair<double, ConnectionId>> due_;         // when each quiet connection is looked at
-  std::unordered_map<ConnectionId, double> due_at_;
-  ConnectionId teller_ = 0;  // where ends are told; 0: to be looked for
+  ConnectionId teller_ = 0;                               // where ends are told; 0: to be looked for
   std::deque<End> ends_;
   CallerCounts counts_;
 };
--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -226,7 +226,7 @@
   }
 }
 
-const char* PlatformEdge::offer(Setup setup) {
+const char* PlatformEdge::offer(CallSetup setup) {
   const auto place = std::find(config_.classes.begin(), config_.classes.end(), setup.service_class);
   if (place == config_.classes.end()) return "unknown class";
   if (ids_.count(setup.id) != 0 || taken_over_.count(setup.id) != 0) return "the id of a call that stands";
@@ -256,7 +256,7 @@
   return nullptr;
 }
 
-const char* PlatformEdge::take_over(const Setup& setup) {
+const char* PlatformEdge::take_over(const CallSetup& setup) {
   if (ids_.count(setup.id) != 0 || taken_over_.count(setup.id) != 0) return nullptr;  // held already
   const ServerId server = book_.number(setup.stands_at);
   CoreLinks* const at = links(server);
--- a/src/platform/platform_edge.hpp
+++ b/src/platform/platform_edge.hpp
@@ -79,8 +79,8 @@
   // ---- CallerPorts ----
   void send_to_caller(ConnectionId to, std::string_view bytes) override;
   void close_caller(ConnectionId which) override;
-  const char* offer(Setup setup) override;
-  const char* take_over(const Setup& setup) override;
+  const char* offer(CallSetup setup) override;
+  const char* take_over(const CallSetup& setup) override;
   bool hang_up(std::uint64_t id) override;
   void caller_fault(ConnectionId from, const char* what) override;
 
--- /dev/null
+++ b/tests/platform/caller_codec_test.cpp
@@ -0,0 +1,194 @@
+#include "platform/caller_codec.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace mintrock::platform {
+namespace {
+
+using Parameters = std::vector<std::pair<Parameter, std::string>>;
+
+std::string setup_bytes(std::uint64_t id, const Parameters& more = {}) {
+  Parameters parameters{{Parameter::kClass, "voice"},
+                        {Parameter::kLeft, "1500"},
+                        {Parameter::kNumber, "7f3a9c21e0b4d655"},
+                        {Parameter::kFigures, "dest:2;width:1;via:-1"},
+                        {Parameter::kDescription, "m=audio\r\n"}};
+  for (const auto& [code, value] : more) {
+    bool replaced = false;
+    for (auto& each : parameters) {
+      if (each.first != code) continue;
+      each.second = value;
+      replaced = true;
+    }
+    if (!replaced) parameters.emplace_back(code, value);
+  }
+  return write_message(CallerType::kSetup, id, parameters);
+}
+
+std::optional<CallSetup> read(const std::string& bytes, std::string& why) {
+  MessageCutter cutter;
+  cutter.feed(bytes);
+  const auto message = cutter.next();
+  const char* fault = cutter.fault();
+  std::optional<CallSetup> setup;
+  if (message) setup = read_setup(*message, fault);
+  why = fault == nullptr ? "" : fault;
+  return setup;
+}
+
+TEST(CallerCodec, ReadsASetupInPiecesOfAnySize) {
+  const std::string bytes = setup_bytes(0x9b1f03aa5c7e2d41, {{Parameter::kRetry, "1"}});
+  for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+    MessageCutter cutter;
+    std::optional<CallSetup> setup;
+    for (std::size_t at = 0; at < bytes.size(); at += piece) {
+      EXPECT_FALSE(setup);
+      cutter.feed(std::string_view(bytes).substr(at, piece));
+      if (const auto message = cutter.next()) {
+        const char* why = nullptr;
+        setup = read_setup(*message, why);
+      }
+    }
+    ASSERT_TRUE(setup) << piece;
+    EXPECT_EQ(setup->id, 0x9b1f03aa5c7e2d41u);
+    EXPECT_EQ(setup->service_class, "voice");
+    EXPECT_DOUBLE_EQ(setup->left_s, 1.5);
+    EXPECT_EQ(setup->number, "7f3a9c21e0b4d655");
+    EXPECT_EQ(setup->key, 0x7f3a9c21e0b4d655u);
+    EXPECT_EQ(setup->first_choice, 2);
+    EXPECT_DOUBLE_EQ(setup->width, 1);
+    EXPECT_TRUE(setup->redialled);
+    EXPECT_FALSE(setup->was_cut);
+    EXPECT_EQ(setup->description, "m=audio\r\n");
+    EXPECT_FALSE(cutter.next());
+    EXPECT_FALSE(cutter.partial());
+  }
+}
+
+TEST(CallerCodec, ReadsWhatACutOrStandingCallBrings) {
+  std::string why;
+  auto setup = read(setup_bytes(5, {{Parameter::kFigures, "dest:0;width:1;again:1"}}), why);
+  ASSERT_TRUE(setup);
+  EXPECT_TRUE(setup->was_cut);
+  setup = read(setup_bytes(5, {{Parameter::kFigures, "at:s-00c41f7a"}, {Parameter::kDescription, ""}}), why);
+  ASSERT_TRUE(setup) << why;
+  EXPECT_EQ(setup->stands_at, "s-00c41f7a");
+}
+
+// What bad clients send: each is named, none is taken.
+TEST(CallerCodec, EveryUnusableSetupHasAName) {
+  const Parameters bad[] = {{{Parameter::kLeft, "soon"}},
+                            {{Parameter::kLeft, "nan"}},
+                            {{Parameter::kLeft, "inf"}},
+                            {{Parameter::kLeft, "-5"}},
+                            {{Parameter::kLeft, "0"}},
+                            {{Parameter::kLeft, "99999999999"}},
+                            {{Parameter::kLeft, ""}},
+                            {{Parameter::kClass, ""}},
+                            {{Parameter::kRetry, "often"}},
+                            {{Parameter::kFigures, "dest:many"}},
+                            {{Parameter::kFigures, "dest:-7"}},
+                            {{Parameter::kFigures, "dest:1.5"}},
+                            {{Parameter::kFigures, "dest:99999999"}},
+                            {{Parameter::kFigures, "width:0"}},
+                            {{Parameter::kFigures, "width:nan"}},
+                            {{Parameter::kFigures, "width:-1"}},
+                            {{Parameter::kFigures, "width:1e9"}},
+                            {{Parameter::kFigures, "again:2"}},
+                            {{Parameter::kFigures, "at:"}},
+                            {{Parameter::kFigures, "nonsense"}},
+                            {{Parameter::kDescription, ""}},
+                            {{Parameter::kDescription, "\xff\xfe"}},
+                            {{Parameter::kClass, "vo\xc0"}},
+                            {{Parameter::kNumber, std::string(300, '7')}}};
+  for (const Parameters& each : bad) {
+    std::string why;
+    EXPECT_FALSE(read(setup_bytes(5, each), why)) << each[0].second;
+    EXPECT_FALSE(why.empty()) << each[0].second;
+  }
+  std::string why;
+  EXPECT_FALSE(read(setup_bytes(0), why));
+  EXPECT_EQ(why, "no id");
+  EXPECT_FALSE(
+      read(write_message(CallerType::kSetup, 5, {{Parameter::kClass, "a"}, {Parameter::kClass, "b"}}), why));
+  EXPECT_EQ(why, "a parameter comes twice");
+}
+
+TEST(CallerCodec, EveryBrokenFrameHasAName) {
+  const std::pair<std::string, const char*> bad[] = {
+      {std::string("\0\0\1", 3), "length too small"},
+      {std::string("\0\10\1", 3), "length too small"},
+      {std::string("\xff\xff", 2), "length too large"},
+      {std::string("\x3f\xff", 2), "length too large"},
+      {std::string("\0\13\1\0\0\0\0\0\0\0\5\3\0", 13), "a parameter ends inside its length"},
+      {std::string("\0\14\1\0\0\0\0\0\0\0\5\3\0\7", 14), "a parameter is longer than its message"},
+      {std::string("\0\14\1\0\0\0\0\0\0\0\5\3\xff\xff", 14), "a parameter is longer than its message"}};
+  for (const auto& [bytes, name] : bad) {
+    MessageCutter cutter;
+    cutter.feed(bytes);
+    EXPECT_FALSE(cutter.next());
+    ASSERT_NE(cutter.fault(), nullptr) << name;
+    EXPECT_STREQ(cutter.fault(), name);
+    cutter.feed(setup_bytes(5));
+    EXPECT_FALSE(cutter.next()) << "after a fault nothing is read";
+  }
+}
+
+// Guards against a length that makes the proxy wait for, and keep, more than a message.
+TEST(CallerCodec, NoiseNeverMakesItHoldMoreThanAMessage) {
+  std::mt19937_64 random(7);
+  for (int run = 0; run < 2000; ++run) {
+    MessageCutter cutter;
+    std::string bytes = setup_bytes(random());
+    for (int i = 0; i < 3; ++i) bytes[random() % bytes.size()] = static_cast<char>(random());
+    cutter.feed(bytes + bytes);
+    for (int i = 0; i < 10; ++i) {
+      const auto message = cutter.next();
+      if (!message) break;
+      const char* why = nullptr;
+      read_setup(*message, why);
+    }
+  }
+}
+
+TEST(CallerCodec, WritesWhatItReads) {
+  MessageCutter cutter;
+  cutter.feed(write_answer(7, "v=0") + write_release(8, kCauseCongestion, 250) + write_release(9, 41) +
+              write_test_passed(10, true) + write_released(11));
+  auto message = cutter.next();
+  ASSERT_TRUE(message);
+  EXPECT_EQ(message->type, 9);
+  EXPECT_EQ(message->find(Parameter::kDescription), "v=0");
+  message = cutter.next();
+  ASSERT_TRUE(message);
+  EXPECT_EQ(message->type, 12);
+  EXPECT_EQ(message->call, 8u);
+  EXPECT_EQ(message->find(Parameter::kStayAway), "250");
+  EXPECT_EQ(read_cause(*message), 42);
+  message = cutter.next();
+  ASSERT_TRUE(message);
+  EXPECT_TRUE(message->find(Parameter::kStayAway).empty());
+  EXPECT_EQ(read_cause(*message), 41);
+  message = cutter.next();
+  ASSERT_TRUE(message);
+  EXPECT_EQ(message->type, 53);
+  EXPECT_EQ(read_cause(*message), 1);
+  message = cutter.next();
+  ASSERT_TRUE(message);
+  EXPECT_EQ(message->type, 16);
+}
+
+TEST(CallerCodec, IdsAreSixteenHexDigits) {
+  EXPECT_EQ(hex_id(0x9b1f03aa5c7e2d41), "9b1f03aa5c7e2d41");
+  EXPECT_EQ(hex_id(5), "0000000000000005");
+  EXPECT_EQ(read_hex_id("9b1f03aa5c7e2d41"), 0x9b1f03aa5c7e2d41u);
+  for (const char* bad : {"", "9b1f", "9b1f03aa5c7e2d4g", "9b1f03aa5c7e2d411"})
+    EXPECT_FALSE(read_hex_id(bad));
+}
+
+}  // namespace
+}  // namespace mintrock::platform
--- /dev/null
+++ b/tests/platform/core_links_test.cpp
@@ -0,0 +1,362 @@
+// The links to one core server against a scripted network, at virtual times.
+#include "platform/core_links.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "platform/caller_codec.hpp"
+
+namespace mintrock::platform {
+namespace {
+
+constexpr ServerId kServer = 3;
+
+struct World : CorePorts {
+  explicit World(std::size_t most = 4) : links(kServer, {0.5, most}, *this, counts) {
+    links.set_state(ServerEntry::State::kReady, 0);
+  }
+  ConnectionId connect_core(ServerId) override {
+    begun.push_back(++last);
+    return last;
+  }
+  void send_to_core(ConnectionId to, std::string_view bytes) override { sent[to] += bytes; }
+  void close_core(ConnectionId which) override { closed.push_back(which); }
+  void core_stood(const Attempt& who, std::string description, const Report&) override {
+    events.push_back("stood " + std::to_string(who.call) + "/" + std::to_string(who.attempt) + " " +
+                     description);
+  }
+  void core_ended(const Attempt& who, Outcome outcome, Cause cause, double, const Report&) override {
+    events.push_back("ended " + std::to_string(who.call) + "/" + std::to_string(who.attempt) + " " +
+                     std::to_string(static_cast<int>(outcome)) + " " +
+                     std::to_string(static_cast<int>(cause)));
+  }
+  void core_over(ServerId, std::uint64_t id, bool cut, const Report&) override {
+    events.push_back((cut ? "cut " : "over ") + std::to_string(id));
+  }
+  void core_load(ServerId, const Report& report) override { loads.push_back(report); }
+  void core_fault(ServerId, const char* what) override { faults.push_back(what); }
+
+  void all_up(double now) {
+    for (const ConnectionId each : std::exchange(begun, {})) links.up(each, now);
+  }
+  void set_up(CallId call, std::uint32_t attempt, std::uint64_t id, double now) {
+    links.set_up({call, attempt}, id, "setup " + std::to_string(id) + "\n", now);
+  }
+  void say(ConnectionId on, const std::string& type, std::uint64_t id, const std::string& rest, double now) {
+    links.received(on, "{\"type\":\"" + type + "\",\"id\":\"" + hex_id(id) + "\"" + rest + "}\n", now);
+  }
+  void answer(ConnectionId on, std::uint64_t id, double now) {
+    say(on, "answer", id, ",\"sdp\":\"v=0\"", now);
+  }
+  // The connection on which this set-up was written last.
+  ConnectionId where(std::uint64_t id) const {
+    for (const auto& [on, bytes] : sent) {
+      if (bytes.find("setup " + std::to_string(id) + "\n") != std::string::npos) return on;
+    }
+    return 0;
+  }
+  std::size_t releases(std::uint64_t id) const {
+    std::size_t count = 0;
+    for (const auto& [on, bytes] : sent) {
+      const std::string line = write_core_release(id, 16);
+      for (std::size_t at = bytes.find(line); at != std::string::npos; at = bytes.find(line, at + 1)) ++count;
+    }
+    return count;
+  }
+  static std::string ended(CallId call, std::uint32_t attempt, Outcome outcome, Cause cause = Cause::kNone) {
+    return "ended " + std::to_string(call) + "/" + std::to_string(attempt) + " " +
+           std::to_string(static_cast<int>(outcome)) + " " + std::to_string(static_cast<int>(cause));
+  }
+
+  ConnectionId last = 0;
+  std::vector<ConnectionId> begun, closed;
+  std::map<ConnectionId, std::string> sent;
+  std::vector<std::string> events, faults;
+  std::vector<Report> loads;
+  CoreCounts counts;
+  CoreLinks links;
+};
+
+TEST(CoreLinks, AReadyServerIsConnectedToAndTellsItsState) {
+  World w;
+  EXPECT_EQ(w.begun.size(), 2u);
+  w.all_up(0.1);
+  w.links.received(1, "{\"type\":\"state\",\"fields\":{\"load\":\"spare:7;total:9;mean_ms:-1\"}}\n", 0.1);
+  ASSERT_EQ(w.loads.size(), 1u);
+  EXPECT_EQ(w.loads[0].spare, 7);
+}
+
+TEST(CoreLinks, ASetupWaitsForItsConnectionAndEachGetsOneOfItsOwn) {
+  World w;
+  w.set_up(1, 0, 11, 0.05);
+  EXPECT_EQ(w.where(11), 0u);
+  w.all_up(0.1);
+  EXPECT_NE(w.where(11), 0u);
+  for (std::uint64_t id = 12; id <= 14; ++id) w.set_up(1, 0, id, 0.2);
+  w.all_up(0.3);
+  std::set<ConnectionId> used;
+  for (std::uint64_t id = 11; id <= 14; ++id) used.insert(w.where(id));
+  EXPECT_EQ(used.size(), 4u);
+  w.set_up(1, 0, 15, 0.4);
+  EXPECT_TRUE(w.begun.empty()) << "no more than the bound";
+  EXPECT_NE(w.where(15), 0u);
+}
+
+TEST(CoreLinks, AnAnswerStandsAndItsSecondCopyIsNothing) {
+  World w;
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.answer(w.where(11), 11, 0.1);
+  w.answer(w.where(11), 11, 0.1);
+  EXPECT_EQ(w.events, std::vector<std::string>{"stood 1/0 v=0"});
+  EXPECT_EQ(w.counts.doubled, 1u);
+  EXPECT_EQ(w.links.standing(), 1u);
+  w.say(2, "release", 11, ",\"cause\":16", 0.2);  // on any connection
+  EXPECT_EQ(w.events.back(), "over 11");
+  EXPECT_TRUE(w.links.idle());
+}
+
+TEST(CoreLinks, AnAnswerUnderAnUnknownIdInFrontDoesNoHarm) {
+  World w;
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.answer(w.where(11), 999, 0.1);
+  w.answer(w.where(11), 11, 0.1);
+  EXPECT_EQ(w.events, std::vector<std::string>{"stood 1/0 v=0"});
+  EXPECT_EQ(w.counts.stranger, 1u);
+}
+
+TEST(CoreLinks, RefusalsAreToldWithTheirCauseAndLoad) {
+  World w;
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.say(w.where(11), "release", 11, ",\"cause\":34,\"fields\":{\"note\":\"all_trunks_busy\"}", 0.1);
+  EXPECT_EQ(w.events, std::vector<std::string>{World::ended(1, 0, Outcome::kFull, Cause::kNoLine)});
+  EXPECT_EQ(w.releases(11), 0u) << "it never ran";
+  EXPECT_TRUE(w.links.idle());
+}
+
+// Guards against a late answer that stands at the server for ever, or is passed on.
+TEST(CoreLinks, ASetupGivenUpIsReleasedOnItsConnectionAndItsLateAnswerIsNothing) {
+  World w;
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  const ConnectionId on = w.where(11);
+  w.links.give_up(11, 1);
+  EXPECT_NE(w.sent[on].find(write_core_release(11, 16)), std::string::npos);
+  w.answer(on, 11, 1.1);
+  EXPECT_TRUE(w.events.empty());
+  EXPECT_EQ(w.counts.late, 1u);
+  EXPECT_TRUE(w.links.idle());
+}
+
+TEST(CoreLinks, ARetryAtTheSameServerIsNotItsEarlierAttempt) {
+  World w;
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  const ConnectionId first = w.where(11);
+  w.set_up(2, 0, 12, 0);  // takes the other connection
+  w.links.give_up(11, 1);
+  w.sent.clear();
+  w.set_up(3, 0, 13, 1);  // takes the first one
+  w.set_up(1, 1, 11, 1.5);
+  w.all_up(1.5);
+  const ConnectionId second = w.where(11);
+  ASSERT_NE(second, first);
+  w.answer(first, 11, 1.6);  // of the attempt that was given up
+  EXPECT_TRUE(w.events.empty());
+  w.answer(second, 11, 1.7);
+  EXPECT_EQ(w.events, std::vector<std::string>{"stood 1/1 v=0"});
+}
+
+// One spoilt answer: the connection goes, each set-up on it is a reset once, what stands stays.
+TEST(CoreLinks, ASpoiltLineClosesItsConnectionAloneAndReleasesWhatWasOut) {
+  World w(2);
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.set_up(2, 0, 12, 0);
+  w.set_up(3, 0, 13, 0);  // shares a connection with the first
+  ASSERT_EQ(w.where(13), w.where(11));
+  const ConnectionId bad = w.where(11);
+  w.links.received(bad, "\x01\x02 noise\n", 0.1);
+  EXPECT_EQ(w.closed, std::vector<ConnectionId>{bad});
+  EXPECT_EQ(w.events, (std::vector<std::string>{World::ended(1, 0, Outcome::kReset),
+                                                World::ended(3, 0, Outcome::kReset)}));
+  EXPECT_EQ(w.releases(11), 1u);
+  EXPECT_EQ(w.releases(13), 1u);
+  w.answer(bad, 11, 0.2);
+  EXPECT_EQ(w.events.size(), 2u) << "nothing that comes after it is passed on";
+  EXPECT_EQ(w.links.out(), 1u);
+  EXPECT_EQ(w.counts.spoilt, 1u);
+}
+
+TEST(CoreLinks, ALineThatNeverEndsClosesItsConnection) {
+  World w;
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  const ConnectionId on = w.where(11);
+  for (int i = 0; i < 20 && w.closed.empty(); ++i) w.links.received(on, std::string(1000, 'x'), 0.1);
+  EXPECT_EQ(w.closed, std::vector<ConnectionId>{on});
+  EXPECT_EQ(w.events, std::vector<std::string>{World::ended(1, 0, Outcome::kReset)});
+}
+
+TEST(CoreLinks, ALostConnectionIsAResetAndIsMadeAnewForTheRelease) {
+  World w(1);
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.links.down(1, false, 0.1);
+  EXPECT_EQ(w.events, std::vector<std::string>{World::ended(1, 0, Outcome::kReset)});
+  EXPECT_EQ(w.links.owed(), 1u);
+  w.links.tick(0.3);
+  ASSERT_EQ(w.begun.size(), 1u);
+  w.set_up(2, 0, 12, 0.3);
+  w.all_up(0.4);
+  EXPECT_EQ(w.sent[2].find(write_core_release(11, 16)), 0u) << "before anything new";
+  EXPECT_NE(w.where(12), 0u);
+  EXPECT_EQ(w.links.owed(), 0u);
+}
+
+TEST(CoreLinks, WhatStandsOutlivesItsConnection) {
+  World w(1);
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.answer(1, 11, 0.1);
+  w.events.clear();
+  w.links.down(1, false, 0.2);
+  w.links.tick(0.4);
+  w.all_up(0.4);
+  EXPECT_TRUE(w.events.empty());
+  w.say(2, "release", 11, ",\"cause\":41", 0.5);
+  EXPECT_EQ(w.events, std::vector<std::string>{"cut 11"});
+}
+
+TEST(CoreLinks, ARefusedConnectionMeansThatNothingRanAndWhatStoodWasCut) {
+  World w(1);
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.answer(1, 11, 0.1);
+  w.events.clear();
+  w.links.down(1, false, 0.2);
+  w.set_up(2, 0, 12, 0.4);
+  const ConnectionId next = w.begun.back();
+  w.links.down(next, true, 0.4);
+  ASSERT_EQ(w.events.size(), 2u);
+  EXPECT_EQ(w.events[0], "cut 11");
+  EXPECT_EQ(w.events[1], World::ended(2, 0, Outcome::kConnectFailed));
+  EXPECT_TRUE(w.links.idle());
+}
+
+// A vanished machine: open connections stay open and quiet, new ones never come up. Told within 8 s.
+TEST(CoreLinks, AVanishedMachineIsFoundOutByConnectionsThatNeverComeUp) {
+  World w;
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.answer(w.where(11), 11, 0.1);
+  w.events.clear();
+  double now = 0.1;
+  while (now < 8 && w.events.empty()) {
+    now = std::max(now + 0.001, std::min(w.links.deadline(), now + 1));
+    w.links.tick(now);
+  }
+  EXPECT_EQ(w.events, std::vector<std::string>{"cut 11"});
+  EXPECT_LT(now, 7.5);
+}
+
+// And one that only hangs still takes connections: its calls stand.
+TEST(CoreLinks, AQuietServerThatTakesConnectionsKeepsItsCalls) {
+  World w;
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.answer(w.where(11), 11, 0.1);
+  w.events.clear();
+  for (double now = 0.1; now < 60; now += 0.05) {
+    w.links.tick(now);
+    w.all_up(now);
+  }
+  EXPECT_TRUE(w.events.empty());
+  EXPECT_LE(w.links.connections(), 4u);
+}
+
+TEST(CoreLinks, AConnectionThatDoesNotComeUpNeverRan) {
+  World w;
+  w.set_up(1, 0, 11, 0.1);
+  w.links.tick(0.6);
+  EXPECT_EQ(w.events, std::vector<std::string>{World::ended(1, 0, Outcome::kConnectFailed)});
+  EXPECT_EQ(w.releases(11), 0u);
+}
+
+// Rule three: a set-up that waits for its connection must not go out once the server drains.
+TEST(CoreLinks, NothingThatWaitsGoesOutToADrainingServer) {
+  World w;
+  w.set_up(1, 0, 11, 0.1);
+  w.links.set_state(ServerEntry::State::kDraining, 0.2);
+  EXPECT_EQ(w.events, std::vector<std::string>{World::ended(1, 0, Outcome::kNotSent)});
+  w.all_up(0.3);
+  EXPECT_EQ(w.where(11), 0u);
+}
+
+TEST(CoreLinks, AServerThatIsGoneIsLeftOnceItHoldsNothing) {
+  World w;
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.answer(w.where(11), 11, 0.1);
+  w.links.set_state(ServerEntry::State::kGone, 0.2);
+  EXPECT_TRUE(w.closed.empty());
+  w.say(1, "release", 11, ",\"cause\":16", 0.3);
+  EXPECT_TRUE(w.links.idle());
+  w.links.set_state(ServerEntry::State::kGone, 0.4);
+  EXPECT_EQ(w.closed.size(), 2u);
+  w.links.tick(10);
+  EXPECT_EQ(w.links.connections(), 0u);
+}
+
+// A new id at its address: nothing of the old one's is sent there, and its calls are over with its
+// connections.
+TEST(CoreLinks, OneWhoseAddressIsAnothersIsNotCalledAnyMore) {
+  World w;
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.answer(w.where(11), 11, 0.1);
+  w.events.clear();
+  w.links.set_state(ServerEntry::State::kGone, 0.2);
+  w.links.moved_away(0.2);
+  EXPECT_TRUE(w.events.empty()) << "its connections still stand";
+  w.begun.clear();
+  w.links.down(1, false, 0.3);
+  w.links.down(2, false, 0.3);
+  EXPECT_EQ(w.events, std::vector<std::string>{"cut 11"});
+  w.links.tick(5);
+  EXPECT_TRUE(w.begun.empty());
+}
+
+TEST(CoreLinks, TablesAreEmptyAfterChurn) {
+  World w;
+  w.all_up(0);
+  double now = 0;
+  for (std::uint64_t id = 1; id <= 30000; ++id) {
+    now += 0.01;
+    w.set_up(static_cast<CallId>(id), 0, id, now);
+    w.all_up(now);
+    const ConnectionId on = w.where(id);
+    ASSERT_NE(on, 0u);
+    w.sent.clear();
+    if (id % 4 == 0) w.links.give_up(id, now);
+    if (id % 4 == 1) w.say(on, "release", id, ",\"cause\":34", now);
+    if (id % 4 >= 2) w.answer(on, id, now);
+    if (id % 4 == 2) w.say(on, "release", id, ",\"cause\":16", now);
+    if (id % 4 == 3) w.links.give_up(id, now);
+    if (id % 100 == 0) w.links.down(on, false, now);
+    w.links.tick(now);
+    w.all_up(now);
+    w.events.clear();
+  }
+  EXPECT_TRUE(w.links.idle());
+  EXPECT_LE(w.links.connections(), 4u);
+}
+
+}  // namespace
+}  // namespace mintrock::platform
--- /dev/null
+++ b/tests/platform/platform_edge_test.cpp
@@ -0,0 +1,367 @@
+// The whole route on loopback: a caller, a core server and an event bus, all stand-ins on one loop.
+#include "platform/platform_edge.hpp"
+
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace mintrock::platform {
+namespace {
+
+using nlohmann::json;
+
+// A core server that answers each set-up by `reply`, and keeps what it was sent.
+struct Core {
+  explicit Core(net::Loop& loop)
+      : listener(loop, net::Address{}, [this, &loop](int fd, net::Address from) {
+          const auto stream = net::Stream::adopt(loop, fd, from, 1 << 20);
+          streams.push_back(stream);
+          cutters.emplace_back();
+          const std::size_t place = streams.size() - 1;
+          stream->set({{},
+                       [this, place](std::string_view bytes) {
+                         cutters[place].feed(bytes);
+                         while (const auto line = cutters[place].next()) take(place, std::string(*line));
+                       },
+                       [this, place](const std::string&) { streams[place].reset(); }});
+        }) {}
+  void take(std::size_t place, const std::string& line) {
+    const json message = json::parse(line);
+    got.push_back(message);
+    if (message["type"] != "setup") return;
+    if (reply) reply(place, message["id"].get<std::string>());
+  }
+  void say(std::size_t place, const std::string& line) {
+    if (streams[place]) streams[place]->write(line + "\n");
+  }
+  void answer(std::size_t place, const std::string& id) {
+    say(place, R"({"type":"answer","id":")" + id + R"(","fields":{},"sdp":"answer )" + id + "\"}");
+  }
+  std::size_t count(const char* type) const {
+    std::size_t out = 0;
+    for (const json& each : got) out += each["type"] == type;
+    return out;
+  }
+  std::vector<std::shared_ptr<net::Stream>> streams;
+  std::deque<LineCutter> cutters;
+  std::vector<json> got;
+  std::function<void(std::size_t, const std::string&)> reply =
+      [this](std::size_t place, const std::string& id) { answer(place, id); };
+  net::Listener listener;
+};
+
+struct Bus {
+  explicit Bus(net::Loop& loop)
+      : listener(loop, net::Address{}, [this, &loop](int fd, net::Address from) {
+          const auto stream = net::Stream::adopt(loop, fd, from, 1 << 20);
+          streams.push_back(stream);
+          requests.emplace_back();
+          const std::size_t place = streams.size() - 1;
+          stream->set({{},
+                       [this, place](std::string_view bytes) {
+                         requests[place] += bytes;
+                         if (requests[place].find("\r\n\r\n") == std::string::npos) return;
+                         streams[place]->write(
+                             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n");
+                       },
+                       {}});
+        }) {}
+  std::vector<std::shared_ptr<net::Stream>> streams;
+  std::deque<std::string> requests;
+  net::Listener listener;
+};
+
+struct Caller {
+  Caller(net::Loop& loop, const net::Address& to) : stream(net::Stream::connect(loop, to, 1 << 20)) {
+    stream->set({{},
+                 [this](std::string_view bytes) {
+                   cutter.feed(bytes);
+                   while (const auto message = cutter.next()) {
+                     got.push_back({message->type, message->call, read_cause(*message),
+                                    std::string(message->find(Parameter::kDescription))});
+                   }
+                 },
+                 [this](const std::string&) { closed = true; }});
+  }
+  void setup(std::uint64_t id, const char* service_class = "status", const char* left = "1500",
+             const char* figures = "dest:0;width:1;via:-1", const char* description = "offer") {
+    stream->write(write_message(CallerType::kSetup, id,
+                                {{Parameter::kClass, service_class},
+                                 {Parameter::kLeft, left},
+                                 {Parameter::kNumber, "7f3a9c21e0b4d655"},
+                                 {Parameter::kFigures, figures},
+                                 {Parameter::kDescription, description}}));
+  }
+  struct Got {
+    int type;
+    std::uint64_t call;
+    int cause;
+    std::string description;
+  };
+  std::size_t count(int type) const {
+    std::size_t out = 0;
+    for (const Got& each : got) out += each.type == type;
+    return out;
+  }
+  MessageCutter cutter;
+  std::vector<Got> got;
+  bool closed = false;
+  std::shared_ptr<net::Stream> stream;
+};
+
+struct Stage {
+  explicit Stage(std::uint32_t sockets = 256) : core(loop), second(loop), bus(loop), new_bus(loop) {
+    const json host{{"host", "s-1"},  {"dial", core.listener.local().str()},
+                    {"site", "east"}, {"class", "small"},
+                    {"block", 0},     {"health", "SERVING"},
+                    {"share", 1},     {"born_ms", 0}};
+    config = {
+        {"bus", bus.listener.local().str()},
+        {"known",
+         {{"offset", 1},
+          {"batch", {{{"offset", 1}, {"topology", {{"seq", 0}, {"whole", true}, {"hosts", {host}}}}}}}}},
+        {"limits", {{"cores", 1}, {"memory_mb", 32}, {"sockets", sockets}}},
+        {"listen", "127.0.0.1:0"},
+        {"name", "n0"},
+        {"seed", "1"},
+        {"settings",
+         {{"classes",
+           {{{"deadline_s", 3},
+             {"effect", "repeatable"},
+             {"goal_time_s", 1},
+             {"name", "status"},
+             {"value", 1}}}},
+          {"domain", {{"clear_wait_s", 0.05}}},
+          {"fleet_size", 1},
+          {"limits",
+           {{"connect_timeout_s", 0.5}, {"try_limit", 3}, {"retry_after", true}, {"max_retry_after_s", 2}}},
+          {"load_info", {{"fields", {"spare", "total"}}}},
+          {"rules", {{"fall_s", 1}, {"overload_factor", 3}, {"start_capacity", 0.5}, {"warm_up_s", 10}}},
+          {"skus", {"small"}}}}};
+    file = "platform_edge_test." + std::to_string(getpid()) + ".json";
+    write(config.dump());
+    edge = std::make_unique<PlatformEdge>(loop, parse_config(config.dump()), file);
+    edge->start();
+  }
+  ~Stage() { std::remove(file.c_str()); }
+  void write(const std::string& text) const { std::ofstream(file, std::ios::trunc) << text; }
+  // Runs the loop until `done`; a guard ends a test that would hang.
+  template <typename Done>
+  bool until(Done done, double most = 10) {
+    const double end = loop.now() + most;
+    std::function<void()> look = [&] {
+      if (done() || loop.now() > end) return loop.stop();
+      loop.after(0.002, look);
+    };
+    loop.after(0, look);
+    loop.run();
+    return done();
+  }
+  std::string event(std::uint64_t offset, const json& hosts, bool whole = false) const {
+    return "id: " + std::to_string(offset) + "\ndata: " +
+           json{{"offset", offset}, {"topology", {{"seq", offset}, {"whole", whole}, {"hosts", hosts}}}}
+               .dump() +
+           "\n\n";
+  }
+  net::Loop loop;
+  Core core, second;
+  Bus bus, new_bus;
+  json config;
+  std::string file;
+  std::unique_ptr<PlatformEdge> edge;
+};
+
+TEST(PlatformEdge, ACallIsServedEndsAndIsForgotten) {
+  Stage stage;
+  Caller caller(stage.loop, stage.edge->listening());
+  caller.setup(0x9b1f03aa5c7e2d41);
+  ASSERT_TRUE(stage.until([&] { return caller.count(9) == 1; }));
+  EXPECT_EQ(caller.got[0].description, "answer 9b1f03aa5c7e2d41");
+  const json& sent = stage.core.got.at(0);
+  EXPECT_EQ(sent["fields"]["class"], "status");
+  EXPECT_EQ(sent["fields"]["key"], "7f3a9c21e0b4d655");
+  EXPECT_EQ(sent["sdp"], "offer");
+  EXPECT_LE(std::stoi(sent["fields"]["left"].get<std::string>()), 1500);
+  stage.core.say(0, R"({"type":"release","id":"9b1f03aa5c7e2d41","fields":{},"cause":16})");
+  ASSERT_TRUE(stage.until([&] { return caller.count(12) == 1; }));
+  EXPECT_EQ(caller.got[1].cause, 16);
+  EXPECT_EQ(stage.edge->calls(), 0u);
+  EXPECT_EQ(stage.edge->desk().standing(), 0u);
+}
+
+TEST(PlatformEdge, ACallerThatReleasesEndsItAtTheCoreServer) {
+  Stage stage;
+  Caller caller(stage.loop, stage.edge->listening());
+  caller.setup(7);
+  ASSERT_TRUE(stage.until([&] { return caller.count(9) == 1; }));
+  caller.stream->write(write_release(7, 16));
+  EXPECT_TRUE(stage.until([&] { return stage.core.count("release") == 1 && caller.count(16) == 1; }));
+  EXPECT_EQ(stage.edge->calls(), 0u);
+}
+
+TEST(PlatformEdge, ASpoiltAnswerIsNotPassedOnAndTheCallIsSetUpAgain) {
+  Stage stage;
+  int tries = 0;
+  stage.core.reply = [&](std::size_t place, const std::string& id) {
+    if (++tries == 1) return stage.core.say(place, "\x01 noise");
+    stage.core.answer(place, id);
+  };
+  Caller caller(stage.loop, stage.edge->listening());
+  caller.setup(7);
+  ASSERT_TRUE(stage.until([&] { return !caller.got.empty(); }));
+  EXPECT_EQ(caller.got[0].type, 9);
+  EXPECT_EQ(stage.core.count("release"), 1u) << "the first may stand there";
+}
+
+// Whatever bad clients send, each is told so and none is served, and a good one is.
+TEST(PlatformEdge, BadClientsAreToldAndGoodOnesServed) {
+  Stage stage;
+  std::vector<std::unique_ptr<Caller>> bad;
+  const auto add = [&](const std::string& bytes) {
+    bad.push_back(std::make_unique<Caller>(stage.loop, stage.edge->listening()));
+    if (!bytes.empty()) bad.back()->stream->write(bytes);
+  };
+  add("GET / HTTP/1.1\r\n\r\n");
+  add(std::string("\0\0", 2));
+  add(std::string("\xff\xff\x01", 3));
+  add(std::string("\0\x40\x01half", 7));
+  add("");
+  bad.push_back(std::make_unique<Caller>(stage.loop, stage.edge->listening()));
+  bad.back()->setup(1000, "nobody's class");
+  bad.push_back(std::make_unique<Caller>(stage.loop, stage.edge->listening()));
+  bad.back()->setup(1001, "status", "NaN");
+  bad.push_back(std::make_unique<Caller>(stage.loop, stage.edge->listening()));
+  bad.back()->setup(1002, "status", "1500", "dest:-9");
+  bad.push_back(std::make_unique<Caller>(stage.loop, stage.edge->listening()));
+  for (std::uint64_t id = 2000; id < 2300; ++id) bad.back()->setup(id, "nobody's class");
+  Caller good(stage.loop, stage.edge->listening());
+  good.setup(7);
+  ASSERT_TRUE(stage.until(
+      [&] {
+        bool all = good.count(9) == 1;
+        for (const auto& each : bad) all = all && (each->closed || each->count(12) > 0);
+        return all;
+      },
+      3.0));
+  for (const auto& each : bad) EXPECT_EQ(each->count(9), 0u);
+  EXPECT_EQ(stage.core.count("setup"), 1u);
+}
+
+// At the limit of descriptors: silent connections make room, the loop does not spin, a good caller is served.
+TEST(PlatformEdge, HundredsOfSilentConnectionsDoNotKeepACallerOut) {
+  Stage stage(64);
+  std::vector<std::unique_ptr<Caller>> silent;
+  for (int i = 0; i < 300; ++i) {
+    silent.push_back(std::make_unique<Caller>(stage.loop, stage.edge->listening()));
+  }
+  Caller good(stage.loop, stage.edge->listening());
+  good.setup(7);
+  ASSERT_TRUE(stage.until([&] { return good.count(9) == 1; }, 2.0));
+  EXPECT_LE(stage.edge->callers().connections(), 32u);
+}
+
+TEST(PlatformEdge, TheListsChangesAreFollowedOnceEach) {
+  Stage stage;
+  ASSERT_TRUE(stage.until([&] { return !stage.bus.requests.empty() && !stage.bus.requests[0].empty(); }));
+  EXPECT_NE(stage.bus.requests[0].find("GET /bus/read "), std::string::npos);
+  EXPECT_NE(stage.bus.requests[0].find("Last-Event-ID: 1\r\n"), std::string::npos);
+  const json added{{"host", "s-2"},
+                   {"dial", stage.second.listener.local().str()},
+                   {"class", "small"},
+                   {"block", 1},
+                   {"health", "SERVING"}};
+  json drained = added;
+  drained["host"] = "s-1";
+  drained["health"] = "DRAINING";
+  stage.bus.streams[0]->write(stage.event(2, {added, drained}) + stage.event(2, {added, drained}));
+  ASSERT_TRUE(stage.until([&] { return stage.edge->servers() == 2; }));
+  Caller caller(stage.loop, stage.edge->listening());
+  caller.setup(7);
+  ASSERT_TRUE(stage.until([&] { return caller.count(9) == 1; }));
+  EXPECT_EQ(stage.core.count("setup"), 0u);
+  EXPECT_EQ(stage.second.count("setup"), 1u);
+  stage.bus.streams[0]->write(stage.event(3, {{{"host", "s-1"}, {"health", "DELETED"}}}));
+  EXPECT_TRUE(stage.until([&] { return stage.edge->servers() == 1; }));
+}
+
+// An event that breaks off behind its number has not been told: it is asked for again, at once.
+TEST(PlatformEdge, ABreakInsideAnEventAsksForItAgain) {
+  Stage stage;
+  ASSERT_TRUE(stage.until([&] { return !stage.bus.requests.empty() && !stage.bus.requests[0].empty(); }));
+  stage.bus.streams[0]->write(stage.event(2, json::array()) + "id: 3\ndata: {\"offs");
+  stage.bus.streams[0]->close_after_flush();
+  ASSERT_TRUE(
+      stage.until([&] { return stage.bus.requests.size() > 1 && !stage.bus.requests[1].empty(); }, 2.0));
+  EXPECT_NE(stage.bus.requests[1].find("Last-Event-ID: 2\r\n"), std::string::npos);
+}
+
+TEST(PlatformEdge, AReplacedConfigurationNamesAnotherBus) {
+  Stage stage;
+  ASSERT_TRUE(stage.until([&] { return !stage.bus.requests.empty() && !stage.bus.requests[0].empty(); }));
+  stage.bus.streams[0]->write(stage.event(2, json::array()));
+  stage.write("{\"bus\": \"127.0");  // half written: the old one stands, and it is read again
+  stage.edge->reload();
+  json fresh = stage.config;
+  fresh["bus"] = stage.new_bus.listener.local().str();
+  stage.loop.after(0.05, [&] { stage.write(fresh.dump()); });
+  ASSERT_TRUE(
+      stage.until([&] { return !stage.new_bus.requests.empty() && !stage.new_bus.requests[0].empty(); }));
+  EXPECT_NE(stage.new_bus.requests[0].find("Last-Event-ID: 2\r\n"), std::string::npos);
+}
+
+TEST(PlatformEdge, WhatIsOpenAtSigtermIsAnsweredAndTheLoopEnds) {
+  Stage stage;
+  std::string held;
+  stage.core.reply = [&](std::size_t place, const std::string& id) {
+    if (id != hex_id(7)) return stage.core.answer(place, id);
+    held = id;
+    stage.loop.after(1.2, [&, place] { stage.core.answer(place, held); });
+  };
+  Caller caller(stage.loop, stage.edge->listening());
+  caller.setup(7, "status", "2900");
+  ASSERT_TRUE(stage.until([&] { return !held.empty(); }));
+  stage.edge->drain();
+  caller.setup(8);   // within the time in which new ones may still come
+  stage.loop.run();  // ends by itself
+  EXPECT_EQ(stage.edge->callers().open(), 0u);
+  stage.edge.reset();
+  stage.until([&] { return caller.count(9) == 2; });
+  EXPECT_EQ(caller.count(9), 2u);
+}
+
+// The end of a call of this proxy's former life, and a call that stood before it began.
+TEST(PlatformEdge, CallsOfAFormerLifeEndAtTheirCallers) {
+  Stage stage;
+  Caller caller(stage.loop, stage.edge->listening());
+  caller.setup(7);
+  ASSERT_TRUE(stage.until([&] { return caller.count(9) == 1; }));
+  stage.core.say(0, R"({"type":"release","id":"00000000000000aa","fields":{},"cause":16})");
+  ASSERT_TRUE(stage.until([&] { return caller.count(12) == 1; }));
+  EXPECT_EQ(caller.got.back().call, 0xaau);
+  caller.setup(0xbb, "status", "1500", "at:s-1");
+  ASSERT_TRUE(stage.until([&] { return stage.edge->callers().counts().messages == 2; }));
+  EXPECT_EQ(stage.core.count("setup"), 1u) << "no attempt";
+  caller.stream->write(write_release(0xbb, 16));
+  EXPECT_TRUE(stage.until([&] { return stage.core.count("release") == 1; }));
+}
+
+TEST(PlatformEdge, HundredsOfCallsAndConnectionsLeaveNothing) {
+  Stage stage;
+  for (std::uint64_t id = 1; id <= 300; ++id) {
+    Caller caller(stage.loop, stage.edge->listening());
+    caller.setup(id);
+    ASSERT_TRUE(stage.until([&] { return caller.got.size() == 1; })) << id;
+    if (caller.count(9) == 1)
+      stage.core.say(0, R"({"type":"release","id":")" + hex_id(id) + R"(","fields":{},"cause":16})");
+    ASSERT_TRUE(stage.until([&] { return stage.edge->calls() == 0; }));
+  }
+  EXPECT_TRUE(stage.until([&] { return stage.edge->callers().connections() == 0; }));
+  EXPECT_EQ(stage.edge->desk().open(), 0u);
+}
+
+}  // namespace
+}  // namespace mintrock::platform
