A process that refuses connections is gone, though an old quiet connection is still open

A probe logged each connection up and down with what stood there. Checked: from 10.4 s on every new connection to the drained server was refused, three of its open ones were reset at 11.9 s, one stayed open and quiet, and 60 calls stood on to the end.

At fault: CoreLinks::drop called the process dead only where no connection was open at all (src/platform/core_links.cpp).

The log has the proxy's state each 10 s, is limited to 100 lines a second, and never waits for its reader.

--- a/src/edge/logging.cpp
+++ b/src/edge/logging.cpp
@@ -1,16 +1,68 @@
 #include "edge/logging.hpp"
 
+#include <limits.h>
+#include <poll.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <chrono>
 #include <nlohmann/json.hpp>
 
 namespace mintrock::edge {
+namespace {
+
+constexpr const char* kPattern = R"({"time":"%Y-%m-%dT%H:%M:%S.%f%z","level":"%l",%v})";
+
+class BoundedStderr : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ public:
+  explicit BoundedStderr(double lines_per_s) : rate_(lines_per_s), left_(lines_per_s) {}
+
+ private:
+  void sink_it_(const spdlog::details::log_msg& msg) override {
+    const auto now = std::chrono::steady_clock::now();
+    left_ = std::min(rate_, left_ + rate_ * std::chrono::duration<double>(now - last_).count());
+    last_ = now;
+    // The descriptor's flags are shared with whoever opened it, so it is asked each time instead.
+    pollfd out{STDERR_FILENO, POLLOUT, 0};
+    if (left_ < 1 || poll(&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0) {
+      dropped_ += 1;
+      return;
+    }
+    left_ -= 1;
+    spdlog::memory_buf_t line;
+    formatter_->format(msg, line);
+    std::string text(line.data(), line.size());
+    if (dropped_ > 0) text += "{\"event\":\"log_dropped\",\"lines\":" + std::to_string(dropped_) + "}\n";
+    dropped_ = 0;
+    // A pipe that is ready takes 4 KiB whole, and no line here is longer.
+    text.resize(std::min<std::size_t>(text.size(), PIPE_BUF));
+    if (write(STDERR_FILENO, text.data(), text.size()) < 0) dropped_ = 1;
+  }
+  void flush_() override {}
+
+  double rate_;
+  double left_;
+  std::uint64_t dropped_ = 0;
+  std::chrono::steady_clock::time_point last_ = std::chrono::steady_clock::now();
+};
+
+}  // namespace
+
+void init_bounded_logging(const std::string& level, double lines_per_s) {
+  auto logger = std::make_shared<spdlog::logger>("mintrock", std::make_shared<BoundedStderr>(lines_per_s));
+  logger->set_pattern(kPattern);
+  spdlog::set_default_logger(std::move(logger));
+  set_log_level(level);
+}
 
 void init_logging(const std::string& level, const std::string& file) {
   auto logger =
       file.empty() ? spdlog::stderr_logger_st("mintrock") : spdlog::basic_logger_st("mintrock", file);
-  logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%f%z","level":"%l",%v})");
+  logger->set_pattern(kPattern);
   logger->flush_on(spdlog::level::info);
   spdlog::set_default_logger(std::move(logger));
   set_log_level(level);
--- a/src/edge/logging.hpp
+++ b/src/edge/logging.hpp
@@ -13,6 +13,9 @@
 
 // Sets the process's logger up: level of debug, info, warning, error; an empty file is standard error.
 void init_logging(const std::string& level, const std::string& file);
+// The same to standard error for a process that must never wait for whoever reads it: what is not taken at
+// once is dropped, and so is what exceeds `lines_per_s`; how many lines, the next one tells.
+void init_bounded_logging(const std::string& level, double lines_per_s);
 void set_log_level(const std::string& level);
 
 void log_event(spdlog::level::level_enum level, const char* event,
--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -28,7 +28,8 @@
 int serve_platform() {
   const char* const file = std::getenv("LB_CONFIG");
   if (file == nullptr) throw std::runtime_error("LB_CONFIG is not set");
-  mintrock::edge::init_logging("info", "");
+  constexpr double kLogLines = 100;  // a second
+  mintrock::edge::init_bounded_logging("info", kLogLines);
   std::signal(SIGPIPE, SIG_IGN);
   mintrock::net::Loop loop;
   mintrock::platform::PlatformEdge edge(loop, mintrock::platform::parse_config(read_file(file)), file);
--- a/src/platform/core_links.cpp
+++ b/src/platform/core_links.cpp
@@ -180,12 +180,14 @@
   const auto found = connections_.find(which);
   const Connection gone = std::move(found->second);
   connections_.erase(found);
-  // A refused connection proves that no process is there: what stood there was cut with it.
-  // Nor can one whose address is another's now be asked any more.
-  if ((refused || address_lost_) && any_up() == 0) dead(now);
+  // A refused connection proves that no process is there: what stood there was cut with it. Connections that
+  // are still open may be a dead machine's; but where they speak, the process only takes no more of them.
+  const bool speaks = any_up() != 0 && now < heard_ + kQuiet;
+  const bool process_gone = (refused && !speaks) || (address_lost_ && any_up() == 0);
+  if (process_gone) dead(now);
   for (const std::uint64_t id : gone.open) {
     // It may stand there, unheard: whoever may hold it is told to let go.
-    release(id, 0, now);
+    if (!process_gone) release(id, 0, now);
     end(id, Outcome::kReset, now);
   }
   // Written to nobody: they never ran.
@@ -193,10 +195,17 @@
   keep_up(now);
 }
 
-// The process is gone: its calls are cut, and nothing there can be released any more.
-void CoreLinks::dead(double) {
+// The process is gone: its calls are cut, nothing there can be released any more, and what is still open
+// leads nowhere.
+void CoreLinks::dead(double now) {
   if (!standing_.empty()) counts_.given_up_for_dead += 1;
+  for (const auto& [id, connection] : std::exchange(connections_, {})) {
+    ports_.close_core(id);
+    for (const std::uint64_t setup : connection.open) end(setup, Outcome::kReset, now);
+    for (const std::uint64_t setup : connection.waiting) end(setup, Outcome::kConnectFailed, now);
+  }
   owed_.clear();
+  silent_since_ = -1;
   for (const std::uint64_t id : std::exchange(standing_, {})) ports_.core_over(server_, id, true, {});
 }
 
@@ -296,13 +305,6 @@
   }
   if (silent_since_ >= 0 && now >= silent_since_ + kVanished && now >= heard_ + kVanished) {
     dead(now);
-    silent_since_ = -1;
-    std::vector<ConnectionId> quiet;
-    for (const auto& [id, connection] : connections_) quiet.push_back(id);
-    for (const ConnectionId id : quiet) {
-      ports_.close_core(id);
-      drop(id, false, now);
-    }
   }
   while (!owed_.empty() && owed_.front().until <= now) owed_.pop_front();
   keep_up(now);
--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -67,6 +67,7 @@
 
 PlatformEdge::~PlatformEdge() {
   loop_.timers().cancel(timer_);
+  loop_.timers().cancel(state_timer_);
   for (auto& [id, stream] : caller_streams_) stream->close();
   for (auto& [id, core] : core_streams_) core.stream->close();
 }
@@ -84,6 +85,7 @@
   listener_ = std::make_unique<net::Listener>(loop_, config_.listen,
                                               [this](int fd, net::Address from) { on_accept(fd, from); });
   watch();
+  state_timer_ = loop_.after(1.0, [this] { tell_state(); });
   log_event(info, "started",
             {{"name", config_.name},
              {"listen", config_.listen.str()},
@@ -467,6 +469,49 @@
   }
 }
 
+// What this proxy believes, to be held against what its core servers and callers saw.
+void PlatformEdge::tell_state() {
+  constexpr double kEvery = 10.0;  // s
+  const edge::DeskCounts& d = desk_.counts();
+  const CallerCounts& c = callers_.counts();
+  const auto text = [](std::uint64_t value) { return std::to_string(value); };
+  log_event(info, "state",
+            {{"offered", text(d.offered)},
+             {"stood", text(d.stood)},
+             {"refused", text(d.refused)},
+             {"failed", text(d.failed)},
+             {"abandoned", text(d.abandoned)},
+             {"overdue", text(d.overdue)},
+             {"attempts", text(d.attempts)},
+             {"timed_out", text(d.timed_out)},
+             {"cancelled", text(d.cancelled)},
+             {"ended", text(d.ended + d.cut)},
+             {"open", text(desk_.open())},
+             {"standing", text(desk_.standing())},
+             {"taken_over", text(taken_over_.size())},
+             {"callers", text(callers_.connections())},
+             {"caller_faults", text(c.faults)},
+             {"closed_for_room", text(c.closed_for_room)},
+             {"ends_kept", text(c.ends_kept)},
+             {"ends_dropped", text(c.ends_dropped)},
+             {"core_lost", text(core_counts_.lost)},
+             {"core_refused", text(core_counts_.refused)},
+             {"core_not_up", text(core_counts_.not_up)},
+             {"core_spoilt", text(core_counts_.spoilt)},
+             {"core_late", text(core_counts_.late)},
+             {"core_doubled", text(core_counts_.doubled)},
+             {"core_stranger", text(core_counts_.stranger)}});
+  for (const auto& [id, core] : cores_) {
+    log_event(info, "core",
+              {{"peer", core.identity},
+               {"out", text(core.links->out())},
+               {"standing", text(core.links->standing())},
+               {"connections", text(core.links->connections())},
+               {"owed", text(core.links->owed())}});
+  }
+  state_timer_ = loop_.after(kEvery, [this] { tell_state(); });
+}
+
 // ---- Other proxies ----
 
 void PlatformEdge::on_datagram(std::string_view bytes, net::Address from) {
@@ -521,6 +566,8 @@
   constexpr double kLook = 0.02;  // s
   const double now = loop_.now();
   if (stopping_) {
+    loop_.timers().cancel(state_timer_);
+    tell_state();
     log_event(info, "stopped", {{"standing", std::to_string(desk_.standing())}});
     return loop_.stop();
   }
--- a/src/platform/platform_edge.hpp
+++ b/src/platform/platform_edge.hpp
@@ -105,7 +105,8 @@
   void remember(std::uint64_t id);
   CoreLinks* links(ServerId server);
   void sweep();
-  void watch();  // the timers of all parts ride on one of the loop's
+  void tell_state();  // to the log, now and then
+  void watch();       // the timers of all parts ride on one of the loop's
 
   net::Loop& loop_;
   Config config_;
@@ -131,6 +132,7 @@
   std::unique_ptr<list::Client> bus_;
   net::TimerId timer_ = 0;
   double timer_at_ = 0;
+  net::TimerId state_timer_ = 0;
   double drain_until_ = 0;
   double serve_until_ = 0;
   bool draining_ = false;
--- a/tests/platform/core_links_test.cpp
+++ b/tests/platform/core_links_test.cpp
@@ -250,6 +250,35 @@
   EXPECT_TRUE(w.links.idle());
 }
 
+// Sockets, disco, seed 11: a process went, its address refused connections, and one old connection stayed
+// open and quiet. Its 60 calls were held to stand, for good.
+TEST(CoreLinks, ARefusedConnectionCountsThoughAQuietOneIsStillOpen) {
+  World w;
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.answer(w.where(11), 11, 0.1);
+  w.events.clear();
+  w.begun.clear();
+  w.links.tick(1.7);  // nothing heard: is it there?
+  ASSERT_FALSE(w.begun.empty());
+  w.links.down(w.begun.back(), true, 1.7);
+  EXPECT_EQ(w.events, std::vector<std::string>{"cut 11"});
+}
+
+// But a server that goes on speaking has only taken enough connections.
+TEST(CoreLinks, ARefusedConnectionOfAServerThatSpeaksCutsNothing) {
+  World w;
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.answer(w.where(11), 11, 0.1);
+  w.set_up(2, 0, 12, 0.2);
+  w.set_up(3, 0, 13, 0.2);
+  w.set_up(4, 0, 14, 0.2);  // needs a new connection
+  ASSERT_FALSE(w.begun.empty());
+  w.links.down(w.begun.back(), true, 0.3);
+  EXPECT_EQ(w.links.standing(), 1u);
+}
+
 // A vanished machine: open connections stay open and quiet, new ones never come up. Told within 8 s.
 TEST(CoreLinks, AVanishedMachineIsFoundOutByConnectionsThatNeverComeUp) {
   World w;
