A refusal beside a quiet open connection counts after 5 s

The log of core_gone showed servers taken for gone at the first refusal. Checked by a probe of what they said: from the moment they drain they take no connection and say nothing, keep the open ones for some 3 s, and then close them; their calls stand until then. Excluded: the caller side, releases by callers.

Change: while a connection is open, refusals, or connections that don't come up, count after 5 s without a word; with none open a refusal counts at once, as at first.

--- a/src/platform/core_links.cpp
+++ b/src/platform/core_links.cpp
@@ -12,9 +12,9 @@
 constexpr double kRetryLongest = 1.0;
 // With this long nothing heard from a server that holds calls, a new connection shows whether it is there.
 constexpr double kQuiet = 1.5;  // s
-// No connection has come up for this long: the machine has vanished, and its calls are over (told within 8
-// s).
-constexpr double kVanished = 3.0;     // s
+// After so long without a word, and with no connection to be had, what stood there is over. Sooner it may be
+// a server that drains, and takes no connections while it finishes its calls; ends must be told within 8 s.
+constexpr double kGone = 5.0;         // s
 constexpr double kOweRelease = 30.0;  // s; by then the call has ended there by itself
 constexpr std::size_t kMostOwed = 4096;
 constexpr std::size_t kMostGivenUp = 1024;  // ids of late answers that one connection remembers
@@ -144,7 +144,7 @@
 
 void CoreLinks::moved_away(double now) {
   address_lost_ = true;
-  if (any_up() == 0) dead(now);
+  if (any_up() == 0) dead("its address is another's", now);
 }
 
 void CoreLinks::up(ConnectionId which, double now) {
@@ -180,11 +180,11 @@
   const auto found = connections_.find(which);
   const Connection gone = std::move(found->second);
   connections_.erase(found);
-  // A refused connection proves that no process is there: what stood there was cut with it. Connections that
-  // are still open may be a dead machine's; but where they speak, the process only takes no more of them.
-  const bool speaks = any_up() != 0 && now < heard_ + kQuiet;
-  const bool process_gone = (refused && !speaks) || (address_lost_ && any_up() == 0);
-  if (process_gone) dead(now);
+  // Nobody takes connections there, and none is open: what stood was cut with the process. While one is open
+  // it may be a draining server that finishes its calls, unless it has been quiet for too long.
+  const bool quiet = any_up() == 0 || now >= heard_ + kGone;
+  const bool process_gone = (refused && quiet) || (address_lost_ && any_up() == 0);
+  if (process_gone) dead(refused ? "refused" : "its address is another's", now);
   for (const std::uint64_t id : gone.open) {
     // It may stand there, unheard: whoever may hold it is told to let go.
     if (!process_gone) release(id, 0, now);
@@ -197,8 +197,8 @@
 
 // The process is gone: its calls are cut, nothing there can be released any more, and what is still open
 // leads nowhere.
-void CoreLinks::dead(double now) {
-  if (!standing_.empty()) counts_.given_up_for_dead += 1;
+void CoreLinks::dead(const char* why, double now) {
+  if (!idle()) ports_.core_gone(server_, why, standing_.size());
   for (const auto& [id, connection] : std::exchange(connections_, {})) {
     ports_.close_core(id);
     for (const std::uint64_t setup : connection.open) end(setup, Outcome::kReset, now);
@@ -303,8 +303,8 @@
     ports_.close_core(id);
     drop(id, false, now);
   }
-  if (silent_since_ >= 0 && now >= silent_since_ + kVanished && now >= heard_ + kVanished) {
-    dead(now);
+  if (silent_since_ >= 0 && now >= heard_ + kGone) {
+    dead("no connection comes up", now);
   }
   while (!owed_.empty() && owed_.front().until <= now) owed_.pop_front();
   keep_up(now);
--- a/src/platform/core_links.hpp
+++ b/src/platform/core_links.hpp
@@ -44,6 +44,8 @@
   virtual void core_over(ServerId server, std::uint64_t id, bool cut, const Report& report) = 0;
   virtual void core_load(ServerId server, const Report& report) = 0;
   virtual void core_fault(ServerId server, const char* what) = 0;  // for the log
+  // Likewise: it is taken for gone, with this many calls that stood.
+  virtual void core_gone(ServerId server, const char* why, std::size_t standing) = 0;
 };
 
 struct CoreCounts {
@@ -55,7 +57,6 @@
   std::uint64_t late = 0;      // answers of attempts that were over
   std::uint64_t doubled = 0;   // answers of calls that stand
   std::uint64_t stranger = 0;  // answers under an id that nothing is out for
-  std::uint64_t given_up_for_dead = 0;
 };
 
 class CoreLinks {
@@ -124,7 +125,7 @@
   void drop(ConnectionId which, bool refused, double now);
   void release(std::uint64_t id, ConnectionId on, double now);
   void end(std::uint64_t id, Outcome outcome, double now);
-  void dead(double now);
+  void dead(const char* why, double now);
   bool wanted() const;
   void keep_up(double now);
 
--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -381,6 +381,14 @@
             {{"peer", found == cores_.end() ? "" : found->second.identity}, {"detail", what}});
 }
 
+void PlatformEdge::core_gone(ServerId server, const char* why, std::size_t standing) {
+  const auto found = cores_.find(server);
+  log_event(warn, "core_gone",
+            {{"peer", found == cores_.end() ? "" : found->second.identity},
+             {"detail", why},
+             {"standing", std::to_string(standing)}});
+}
+
 void PlatformEdge::remember(std::uint64_t id) {
   const double now = loop_.now();
   while (!recent_order_.empty() &&
