--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace mintrock::platform {
 namespace {
@@ -349,6 +350,56 @@
   EXPECT_TRUE(stage.until([&] { return stage.core.count("release") == 1; }));
 }
 
+// What the proxy believes of calls, attempts and what stands, against what passed on the sockets: answers,
+// refusals, spoilt lines, second copies and cuts in turn.
+TEST(PlatformEdge, WhatItBelievesIsWhatPassedOnTheSockets) {
+  Stage stage;
+  std::set<std::string> standing;  // at the core server
+  std::size_t turn = 0;
+  stage.core.reply = [&](std::size_t place, const std::string& id) {
+    switch (turn++ % 8) {
+      case 1:
+        return stage.core.say(place, R"({"type":"release","id":")" + id +
+                                         R"(","fields":{"note":"all_trunks_busy"},"cause":34})");
+      case 3:
+        return stage.core.say(place, "\x01 noise");
+      case 5:
+        stage.core.answer(place, id);
+        standing.insert(id);
+        return stage.core.answer(place, id);
+      default:
+        stage.core.answer(place, id);
+        standing.insert(id);
+    }
+  };
+  Caller caller(stage.loop, stage.edge->listening());
+  std::size_t ends = 0;
+  for (std::uint64_t id = 1; id <= 120; ++id) {
+    caller.setup(id);
+    ASSERT_TRUE(stage.until(
+        [&] { return stage.edge->callers().open() == 0 && stage.edge->desk().counts().offered == id; }));
+    if (id % 10 != 0 || standing.empty()) continue;
+    const std::string over = *standing.begin();
+    standing.erase(standing.begin());
+    for (std::size_t place = 0; place < stage.core.streams.size(); ++place) {
+      if (!stage.core.streams[place]) continue;
+      stage.core.say(place, R"({"type":"release","id":")" + over + R"(","fields":{},"cause":41})");
+      break;
+    }
+    ends += 1;
+    ASSERT_TRUE(stage.until([&] { return stage.edge->desk().counts().cut == ends; }));
+  }
+  const edge::DeskCounts& counts = stage.edge->desk().counts();
+  ASSERT_TRUE(stage.until([&] { return caller.got.size() == 120 + ends; }));
+  EXPECT_EQ(counts.attempts, stage.core.count("setup"));
+  EXPECT_EQ(counts.stood, caller.count(9));
+  EXPECT_EQ(counts.refused + counts.failed + ends, caller.count(12));
+  EXPECT_EQ(stage.edge->desk().standing(), standing.size());
+  EXPECT_GT(counts.refused, 0u);
+  EXPECT_GT(stage.edge->core_counts().spoilt, 0u);
+  EXPECT_GT(stage.edge->core_counts().doubled, 0u);
+}
+
 TEST(PlatformEdge, HundredsOfCallsAndConnectionsLeaveNothing) {
   Stage stage;
   for (std::uint64_t id = 1; id <= 300; ++id) {
