--- a/src/platform/core_links.cpp
+++ b/src/platform/core_links.cpp
@@ -88,15 +88,19 @@
   const ConnectionId on = found->second.on;
   const bool written = found->second.written;
   out_.erase(found);
-  Connection& connection = connections_[on];
+  // Its connection may be gone already: the end of one set-up on it can make the desk give up the next.
+  const auto connection = connections_.find(on);
   if (!written) {
-    const auto waits = std::find(connection.waiting.begin(), connection.waiting.end(), id);
-    if (waits != connection.waiting.end()) connection.waiting.erase(waits);
+    if (connection == connections_.end()) return;
+    std::deque<std::uint64_t>& waiting = connection->second.waiting;
+    waiting.erase(std::remove(waiting.begin(), waiting.end(), id), waiting.end());
     return;
   }
-  connection.open.erase(id);
-  if (connection.given_up.size() >= kMostGivenUp) connection.given_up.clear();
-  connection.given_up.insert(id);
+  if (connection == connections_.end()) return release(id, 0, now);
+  connection->second.open.erase(id);
+  std::unordered_set<std::uint64_t>& given_up = connection->second.given_up;
+  if (given_up.size() >= kMostGivenUp) given_up.clear();
+  given_up.insert(id);
   release(id, on, now);
 }
 
--- a/tests/platform/core_links_test.cpp
+++ b/tests/platform/core_links_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -30,6 +31,7 @@
                      description);
   }
   void core_ended(const Attempt& who, Outcome outcome, Cause cause, double, const Report&) override {
+    if (on_ended) on_ended();
     events.push_back("ended " + std::to_string(who.call) + "/" + std::to_string(who.attempt) + " " +
                      std::to_string(static_cast<int>(outcome)) + " " +
                      std::to_string(static_cast<int>(cause)));
@@ -78,6 +80,7 @@
   std::map<ConnectionId, std::string> sent;
   std::vector<std::string> events, faults;
   std::vector<Report> loads;
+  std::function<void()> on_ended;
   CoreCounts counts;
   CoreLinks links;
 };
@@ -195,6 +198,26 @@
   EXPECT_EQ(w.counts.spoilt, 1u);
 }
 
+// The end of one set-up may make the desk give up another on the connection that is just being left.
+TEST(CoreLinks, WhatIsGivenUpWhileItsConnectionGoesLeavesNothing) {
+  World w(1);
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.set_up(2, 0, 12, 0);
+  w.on_ended = [&] {
+    w.on_ended = nullptr;
+    w.links.give_up(12, 0.1);
+  };
+  w.links.down(1, false, 0.1);
+  EXPECT_EQ(w.events, std::vector<std::string>{World::ended(1, 0, Outcome::kReset)});
+  EXPECT_EQ(w.links.out(), 0u);
+  EXPECT_LE(w.links.connections(), 1u) << "no connection that was never opened";
+  w.links.tick(0.3);
+  w.all_up(0.3);
+  EXPECT_EQ(w.links.owed(), 0u);
+  EXPECT_EQ(w.links.connections(), 1u);
+}
+
 TEST(CoreLinks, ALineThatNeverEndsClosesItsConnection) {
   World w;
   w.all_up(0);
