Datagrams between proxies on the platform are tested both ways

Change: one test on loopback: waits are told within 256 bytes under a name that all proxies share, a stranger's and noise are not believed, a peer's wait closes the server.

--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -10,6 +10,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "instance/hearsay.hpp"
+
 namespace mintrock::platform {
 namespace {
 
@@ -115,7 +117,8 @@
 };
 
 struct Stage {
-  explicit Stage(std::uint32_t sockets = 256) : core(loop), second(loop), bus(loop), new_bus(loop) {
+  explicit Stage(std::uint32_t sockets = 256, const std::function<void(json&, Stage&)>& adjust = {})
+      : core(loop), second(loop), bus(loop), new_bus(loop) {
     const json host{{"host", "s-1"},  {"dial", core.listener.local().str()},
                     {"site", "east"}, {"class", "small"},
                     {"block", 0},     {"health", "SERVING"},
@@ -143,6 +146,7 @@
           {"load_info", {{"fields", {"spare", "total"}}}},
           {"rules", {{"fall_s", 1}, {"overload_factor", 3}, {"start_capacity", 0.5}, {"warm_up_s", 10}}},
           {"skus", {"small"}}}}};
+    if (adjust) adjust(config, *this);
     file = "platform_edge_test." + std::to_string(getpid()) + ".json";
     write(config.dump());
     edge = std::make_unique<PlatformEdge>(loop, parse_config(config.dump()), file);
@@ -169,6 +173,7 @@
            "\n\n";
   }
   net::Loop loop;
+  std::vector<std::unique_ptr<net::Datagrams>> datagrams;
   Core core, second;
   Bus bus, new_bus;
   json config;
@@ -334,6 +339,51 @@
   EXPECT_EQ(caller.count(9), 2u);
 }
 
+// Where one sender is one of many, waits are told to others and heard from them: within 256 bytes, by names
+// that all proxies share, and from their addresses alone.
+TEST(PlatformEdge, WaitsAreToldToOtherProxiesAndHeardFromThem) {
+  std::vector<std::string> heard;
+  net::Datagrams* peer = nullptr;
+  net::Datagrams* stranger = nullptr;
+  net::Address own;
+  Stage stage(256, [&](json& config, Stage& of) {
+    net::Loop& loop = of.loop;
+    const auto add = [&](std::function<void(std::string_view, net::Address)> fn) {
+      of.datagrams.push_back(std::make_unique<net::Datagrams>(loop, net::Address{}, std::move(fn)));
+      return of.datagrams.back().get();
+    };
+    peer = add([&](std::string_view bytes, net::Address) { heard.emplace_back(bytes); });
+    stranger = add([](std::string_view, net::Address) {});
+    own = net::Datagrams(loop, net::Address{}, [](std::string_view, net::Address) {}).local();
+    config["settings"]["fleet_size"] = 60;
+    config["settings"]["me"] = 0;
+    config["settings"]["limits"]["peers"] = true;
+    config["peer_listen"] = own.str();
+    config["peers"] = json::array({own.str()});
+    for (int i = 1; i < 60; ++i) config["peers"].push_back(peer->local().str());
+  });
+  Caller caller(stage.loop, stage.edge->listening());
+  caller.setup(7);
+  ASSERT_TRUE(stage.until([&] { return caller.count(9) == 1 && !heard.empty(); }));
+  EXPECT_LE(heard[0].size(), 256u);
+  std::vector<Hearsay> hearsay = instance::unpack_hearsay(heard[0]);
+  ASSERT_EQ(hearsay.size(), 1u);
+  hearsay[0].wait_s = 30;  // of that server, just now
+  hearsay[0].age_s = 0;
+  stranger->send(instance::pack_hearsay(hearsay), own);
+  stranger->send("noise", own);
+  caller.setup(8);
+  ASSERT_TRUE(stage.until([&] { return caller.count(9) == 2; })) << "a stranger is not believed";
+  peer->send("noise", own);
+  peer->send(std::string(1000, 'x'), own);
+  peer->send(instance::pack_hearsay(hearsay), own);
+  std::uint64_t id = 9;
+  EXPECT_TRUE(stage.until([&] {
+    if (stage.edge->callers().open() == 0) caller.setup(id++);
+    return caller.count(12) > 0;
+  }));
+}
+
 // The end of a call of this proxy's former life, and a call that stood before it began.
 TEST(PlatformEdge, CallsOfAFormerLifeEndAtTheirCallers) {
   Stage stage;
