One place each for numbers read from text, final answers, last flushes and signals

Need: read once more, the change had written these twice or three times: the reading of finite numbers (settings and both codecs), the settling of an open set-up (answer and refuse), the last flush of a stream, the signals of both routes, and a hash of its own beside xxhash. Change: instance::read_finite, CallerSide::settle, Stream::begin_last_flush, one run() in main, XXH64. Result: 158 tests of the module, the adapter and the platform pass; nothing that they assert has changed.

--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -8,6 +8,7 @@
 #include <sstream>
 #include <stdexcept>
 #include <string>
+#include <utility>
 
 #include "edge/config.hpp"
 #include "edge/edge.hpp"
@@ -25,26 +26,31 @@
   return text.str();
 }
 
-int serve_platform() {
-  const char* const file = std::getenv("LB_CONFIG");
-  if (file == nullptr) throw std::runtime_error("LB_CONFIG is not set");
-  constexpr double kLogLines = 100;  // a second
-  mintrock::edge::init_bounded_logging("info", kLogLines);
+// Either route: the same signals mean the same.
+template <typename Edge, typename Config>
+void run(Config config, const std::string& file) {
   std::signal(SIGPIPE, SIG_IGN);
   mintrock::net::Loop loop;
-  mintrock::platform::PlatformEdge edge(loop, mintrock::platform::parse_config(read_file(file)), file);
+  Edge edge(loop, std::move(config), file);
   loop.on_signal(SIGHUP, [&] { edge.reload(); });
   loop.on_signal(SIGTERM, [&] { edge.drain(); });
   loop.on_signal(SIGINT, [&] { edge.drain(); });
   edge.start();
   loop.run();
-  return 0;
+}
+
+void serve_platform() {
+  const char* const file = std::getenv("LB_CONFIG");
+  if (file == nullptr) throw std::runtime_error("LB_CONFIG is not set");
+  constexpr double kLogLines = 100;  // a second
+  mintrock::edge::init_bounded_logging("info", kLogLines);
+  run<mintrock::platform::PlatformEdge>(mintrock::platform::parse_config(read_file(file)), file);
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app{"mintrock-edge: sets calls up at core servers, over Diameter"};
+  CLI::App app{"mintrock-edge: sets calls up at core servers, over Diameter or on the users' platform"};
   std::string file;
   bool check = false;
   bool platform = false;
@@ -57,21 +63,17 @@
     return 2;
   }
   try {
-    if (platform) return serve_platform();
+    if (platform) {
+      serve_platform();
+      return 0;
+    }
     mintrock::edge::Config config = mintrock::edge::load_config(file);
     if (check) {
       std::printf("%s: good\n", file.c_str());
       return 0;
     }
     mintrock::edge::init_logging(config.log.level, config.log.file);
-    std::signal(SIGPIPE, SIG_IGN);
-    mintrock::net::Loop loop;
-    mintrock::edge::Edge edge(loop, std::move(config), file);
-    loop.on_signal(SIGHUP, [&] { edge.reload(); });
-    loop.on_signal(SIGTERM, [&] { edge.drain(); });
-    loop.on_signal(SIGINT, [&] { edge.drain(); });
-    edge.start();
-    loop.run();
+    run<mintrock::edge::Edge>(std::move(config), file);
     return 0;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "mintrock-edge: %s\n", error.what());
--- a/src/instance/bytes.cpp
+++ b/src/instance/bytes.cpp
@@ -1,5 +1,7 @@
 #include "instance/bytes.hpp"
 
+#include <charconv>
+#include <cmath>
 #include <cstring>
 
 namespace mintrock::instance {
@@ -27,6 +29,13 @@
   return true;
 }
 
+std::optional<double> read_finite(std::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value)) return std::nullopt;
+  return value;
+}
+
 std::uint64_t Reader::bits(std::size_t width) {
   const std::string_view raw = bytes(width);
   std::uint64_t value = 0;
--- a/src/instance/bytes.hpp
+++ b/src/instance/bytes.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -21,6 +22,9 @@
 // Rejects overlong forms, surrogates and values past U+10FFFF as well as broken sequences.
 bool valid_utf8(std::string_view text);
 
+// A decimal number and nothing else; none for anything that is not finite.
+std::optional<double> read_finite(std::string_view text);
+
 // Reads big-endian values from a buffer it does not own; reading past the end throws.
 class Reader {
  public:
--- a/src/instance/settings.cpp
+++ b/src/instance/settings.cpp
@@ -1,7 +1,6 @@
 #include "instance/settings.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <utility>
 
@@ -56,11 +55,9 @@
   }
   // All figures read here are sizes, times or shares: none may be negative.
   static double number(const std::string& key, const std::string& text) {
-    double value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value) || value < 0)
-      bad(key);
-    return value;
+    const auto value = read_finite(text);
+    if (!value || *value < 0) bad(key);
+    return *value;
   }
   [[noreturn]] static void bad(const std::string& key) {
     throw FormatError("nonsense in settings at " + key.substr(0, 60));
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -289,19 +289,17 @@
 void Stream::close_after_flush() {
   if (fd_ < 0 || last_flush_) return;
   if (unsent() == 0) return close();
-  closing_ = true;
-  handlers_.reset();
-  last_flush_ = true;
-  loop_.last_flushes_.insert(shared_from_this());
-  close_timer_ = loop_.after(kFlushGrace, [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) self->close();
-  });
+  begin_last_flush();
 }
 
 void Stream::finish() {
   if (fd_ < 0 || last_flush_) return;
   lingering_ = true;
-  const bool all_sent = unsent() == 0;
+  begin_last_flush();
+  if (unsent() == 0) end_of_output();
+}
+
+void Stream::begin_last_flush() {
   closing_ = true;
   handlers_.reset();
   last_flush_ = true;
@@ -309,7 +307,6 @@
   close_timer_ = loop_.after(kFlushGrace, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->close();
   });
-  if (all_sent) end_of_output();
 }
 
 void Stream::reset() {
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -115,6 +115,7 @@
   void flush();
   void fail(const std::string& why);
   void fail(int error);
+  void begin_last_flush();
   void end_of_output();
   Loop& loop_;
   int fd_;
--- a/src/platform/caller_codec.cpp
+++ b/src/platform/caller_codec.cpp
@@ -1,5 +1,8 @@
 #include "platform/caller_codec.hpp"
 
+#include <xxhash.h>
+
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -20,20 +23,12 @@
          static_cast<unsigned char>(text[at + 1]);
 }
 
-// Digits with a sign and a point at most; false for anything else, NaN and infinities among it.
-bool read_number(std::string_view text, double& out) {
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
-  return error == std::errc() && end == text.data() + text.size() && std::isfinite(out);
-}
-
-// The number called as a key for the decisions: its value where it is hex, else a hash (FNV-1a) of its text.
+// The number called as a key for the decisions: its value where it is hex, else a hash of its text.
 std::uint64_t key_of(std::string_view number) {
   std::uint64_t key = 0;
   const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), key, 16);
   if (error == std::errc() && end == number.data() + number.size()) return key;
-  key = 0xcbf29ce484222325u;
-  for (const char c : number) key = (key ^ static_cast<unsigned char>(c)) * 0x100000001b3u;
-  return key;
+  return XXH64(number.data(), number.size(), 0);
 }
 
 const char* read_figures(std::string_view text, CallSetup& out) {
@@ -51,8 +46,9 @@
       out.stands_at = std::string(value);
       continue;
     }
-    double number = 0;
-    if (!read_number(value, number)) return "a figure is no number";
+    const auto read = instance::read_finite(value);
+    if (!read) return "a figure is no number";
+    const double number = *read;
     if (name == "dest") {
       if (number < -1 || number > kMostNode || number != std::floor(number)) return "dest is out of range";
       out.first_choice = static_cast<std::int64_t>(number);
@@ -143,10 +139,10 @@
   }
   out.service_class = std::string(message.find(Parameter::kClass));
   if (out.service_class.empty() || out.service_class.size() > kMostName) return fault("no class");
-  double left_ms = 0;
-  if (!read_number(message.find(Parameter::kLeft), left_ms)) return fault("the time left is no number");
-  if (left_ms <= 0 || left_ms > kMostLeftMs) return fault("the time left is out of range");
-  out.left_s = left_ms / 1000;
+  const auto left_ms = instance::read_finite(message.find(Parameter::kLeft));
+  if (!left_ms) return fault("the time left is no number");
+  if (*left_ms <= 0 || *left_ms > kMostLeftMs) return fault("the time left is out of range");
+  out.left_s = *left_ms / 1000;
   const std::string_view retry = message.find(Parameter::kRetry);
   if (!retry.empty() && retry != "0" && retry != "1") return fault("the retry mark is neither 0 nor 1");
   out.redialled = retry == "1";
--- a/src/platform/caller_side.cpp
+++ b/src/platform/caller_side.cpp
@@ -215,33 +215,29 @@
 }
 
 void CallerSide::answer(std::uint64_t id, std::string_view description, double now) {
-  const auto owner = open_.find(id);
-  if (owner == open_.end()) return;
-  const ConnectionId to = owner->second;
-  open_.erase(owner);
-  Connection* connection = find(to);
+  const ConnectionId to = settle(id, write_answer(id, description), now);
+  Connection* const connection = find(to);
   if (connection == nullptr) return;
-  connection->open.erase(id);
-  connection->answered = true;
-  connection->active = now;
   connection->served = true;
   teller_ = to;
-  ports_.send_to_caller(to, write_answer(id, description));
-  watch(to, *connection);
 }
 
 void CallerSide::refuse(std::uint64_t id, int cause, std::optional<std::uint32_t> stay_away_ms, double now) {
+  settle(id, write_release(id, cause, stay_away_ms), now);
+}
+
+ConnectionId CallerSide::settle(std::uint64_t id, std::string_view bytes, double now) {
   const auto owner = open_.find(id);
-  if (owner == open_.end()) return;
+  if (owner == open_.end()) return 0;
   const ConnectionId to = owner->second;
   open_.erase(owner);
-  Connection* connection = find(to);
-  if (connection == nullptr) return;
-  connection->open.erase(id);
-  connection->answered = true;
-  connection->active = now;
-  ports_.send_to_caller(to, write_release(id, cause, stay_away_ms));
-  watch(to, *connection);
+  Connection& connection = *find(to);  // one that is lost takes its open set-ups with it
+  connection.open.erase(id);
+  connection.answered = true;
+  connection.active = now;
+  ports_.send_to_caller(to, bytes);
+  watch(to, connection);
+  return to;
 }
 
 void CallerSide::end(std::uint64_t id, int cause, double now) {
--- a/src/platform/caller_side.hpp
+++ b/src/platform/caller_side.hpp
@@ -100,6 +100,8 @@
   // Answers what can't be used, and closes the connection that keeps sending it.
   void fault(ConnectionId from, std::uint64_t id, const char* what);
   void close(ConnectionId which);
+  // The final answer of an open set-up goes to the connection that it is owed on; 0: none is owed.
+  ConnectionId settle(std::uint64_t id, std::string_view bytes, double now);
   Connection* find(ConnectionId which);
   void carry(ConnectionId which, Connection& connection, double now);
   double due_of(const Connection& connection) const;
--- a/src/platform/core_codec.cpp
+++ b/src/platform/core_codec.cpp
@@ -1,9 +1,9 @@
 #include "platform/core_codec.hpp"
 
-#include <charconv>
-#include <cmath>
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "instance/bytes.hpp"
 #include "instance/settings.hpp"
 #include "platform/caller_codec.hpp"
 
@@ -19,11 +19,6 @@
   return std::nullopt;
 }
 
-bool read_number(std::string_view text, double& out) {
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
-  return error == std::errc() && end == text.data() + text.size() && std::isfinite(out);
-}
-
 std::optional<CoreMessage::Type> type_of(const std::string& name) {
   using Type = CoreMessage::Type;
   if (name == "answer") return Type::kAnswer;
@@ -65,10 +60,10 @@
     const std::string_view item = text.substr(0, end);
     text.remove_prefix(std::min(end + 1, text.size()));
     const std::size_t colon = item.find(':');
-    double value = 0;
-    if (colon == std::string_view::npos || !read_number(item.substr(colon + 1), value)) continue;
-    if (value < 0) continue;  // how 'not known' is written
-    instance::put_figure(report, instance::field_named(item.substr(0, colon)), value);
+    if (colon == std::string_view::npos) continue;
+    const auto value = instance::read_finite(item.substr(colon + 1));
+    if (!value || *value < 0) continue;  // below 0 is how 'not known' is written
+    instance::put_figure(report, instance::field_named(item.substr(0, colon)), *value);
   }
   return report;
 }
@@ -114,8 +109,7 @@
     if (name == "note") {
       out.note = *text;
     } else if (name == "waited") {
-      double waited_ms = 0;
-      if (read_number(*text, waited_ms) && waited_ms > 0) out.waited_s = waited_ms / 1000;
+      out.waited_s = std::max(0.0, instance::read_finite(*text).value_or(0)) / 1000;
     } else if (name == "load") {
       out.report = read_report(*text);
     }
--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -1,5 +1,7 @@
 #include "platform/platform_edge.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cerrno>
 #include <cmath>
@@ -37,11 +39,9 @@
       std::min<std::size_t>(config.most_open, config.memory_mb * kCallsForMegabyte));
 }
 
-// A server's name in messages between proxies, whose own numbers for it differ: 48 bits of a hash (FNV-1a).
+// A server's name in messages between proxies, whose own numbers for it differ: 48 bits of a hash.
 ServerId common_number(const std::string& identity) {
-  std::uint64_t hash = 0xcbf29ce484222325u;
-  for (const char c : identity) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3u;
-  return (hash ^ hash >> 48) & 0xFFFFFFFFFFFFu;
+  return XXH64(identity.data(), identity.size(), 0) & 0xFFFFFFFFFFFFu;
 }
 
 }  // namespace
