One reader of checked JSON fields for both forms of the list

Need: the platform's news of core servers read its fields by copies of what the pool list has. Change: src/list/json_fields.hpp serves both.

--- a/src/list/pool_list.cpp
+++ b/src/list/pool_list.cpp
@@ -6,6 +6,8 @@
 #include <set>
 #include <stdexcept>
 
+#include "list/json_fields.hpp"
+
 namespace mintrock::list {
 namespace {
 
@@ -25,30 +27,12 @@
   return "?";
 }
 
-double number(const json& from, const char* key, double otherwise, double most) {
-  const auto found = from.find(key);
-  if (found == from.end()) return otherwise;
-  if (!found->is_number()) throw std::runtime_error(std::string(key) + " is no number");
-  const double value = found->get<double>();
-  if (!std::isfinite(value) || value < 0 || value > most) {
-    throw std::runtime_error(std::string(key) + " is out of range");
-  }
-  return value;
-}
-
 Entry parse_entry(const json& from) {
   if (!from.is_object()) throw std::runtime_error("not an object");
   Entry entry;
-  const auto text = [&](const char* key) {
-    const auto found = from.find(key);
-    if (found == from.end() || !found->is_string() || found->get_ref<const std::string&>().empty()) {
-      throw std::runtime_error(std::string(key) + " is missing or no text");
-    }
-    return found->get<std::string>();
-  };
-  entry.identity = text("identity");
-  if (entry.identity.size() > 255) throw std::runtime_error("identity is over 255 bytes");
-  const std::string state = text("state");
+  constexpr std::size_t kMost = 255;  // bytes of a text
+  entry.identity = text_field(from, "identity", kMost);
+  const std::string state = text_field(from, "state", kMost);
   if (state == "ready") {
     entry.state = ServerEntry::State::kReady;
   } else if (state == "draining") {
@@ -59,15 +43,15 @@
     throw std::runtime_error("state '" + state.substr(0, 40) + "' is none of ready, draining, gone");
   }
   // One that is gone needs no address.
-  if (entry.state != ServerEntry::State::kGone) entry.address = text("address");
-  const double node = number(from, "node", 0, 4294967295.0);
-  const double kind = number(from, "kind", 0, 4294967295.0);
+  if (entry.state != ServerEntry::State::kGone) entry.address = text_field(from, "address", kMost);
+  const double node = number_field(from, "node", 0, 4294967295.0);
+  const double kind = number_field(from, "kind", 0, 4294967295.0);
   if (node != std::floor(node) || kind != std::floor(kind))
     throw std::runtime_error("node or kind is no whole number");
   entry.node = static_cast<std::uint32_t>(node);
   entry.kind = static_cast<std::uint32_t>(kind);
-  entry.weight = number(from, "weight", 1, 1e9);
-  entry.started_at = number(from, "started_at", 0, 1e12);
+  entry.weight = number_field(from, "weight", 1, 1e9);
+  entry.started_at = number_field(from, "started_at", 0, 1e12);
   return entry;
 }
 
--- a/src/platform/topology.cpp
+++ b/src/platform/topology.cpp
@@ -1,10 +1,11 @@
 #include "platform/topology.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "list/json_fields.hpp"
+
 namespace mintrock::platform {
 namespace {
 
@@ -12,32 +13,11 @@
 
 constexpr std::size_t kMostHosts = 10000;
 
-std::string text(const json& from, const char* key, std::size_t most) {
-  const auto found = from.find(key);
-  if (found == from.end() || !found->is_string()) throw std::runtime_error(std::string(key) + " is no text");
-  const auto& value = found->get_ref<const std::string&>();
-  if (value.empty() || value.size() > most) {
-    throw std::runtime_error(std::string(key) + " is empty or too long");
-  }
-  return value;
-}
-
-double number(const json& from, const char* key, double otherwise, double most) {
-  const auto found = from.find(key);
-  if (found == from.end() || found->is_null()) return otherwise;
-  if (!found->is_number()) throw std::runtime_error(std::string(key) + " is no number");
-  const double value = found->get<double>();
-  if (!std::isfinite(value) || value < 0 || value > most) {
-    throw std::runtime_error(std::string(key) + " is out of range");
-  }
-  return value;
-}
-
 list::Entry parse_host(const json& from, const std::vector<std::string>& kinds) {
   if (!from.is_object()) throw std::runtime_error("no object");
   list::Entry entry;
-  entry.identity = text(from, "host", 255);
-  const std::string health = text(from, "health", 40);
+  entry.identity = list::text_field(from, "host", 255);
+  const std::string health = list::text_field(from, "health", 40);
   if (health == "SERVING") {
     entry.state = ServerEntry::State::kReady;
   } else if (health == "DRAINING") {
@@ -48,14 +28,14 @@
     throw std::runtime_error("health is none of SERVING, DRAINING, DELETED");
   }
   if (entry.state != ServerEntry::State::kGone || from.contains("dial"))
-    entry.address = text(from, "dial", 64);
-  entry.node = static_cast<std::uint32_t>(number(from, "block", 0, 65535));
+    entry.address = list::text_field(from, "dial", 64);
+  entry.node = static_cast<std::uint32_t>(list::number_field(from, "block", 0, 65535));
   if (from.contains("class")) {
-    const auto found = std::find(kinds.begin(), kinds.end(), text(from, "class", 255));
+    const auto found = std::find(kinds.begin(), kinds.end(), list::text_field(from, "class", 255));
     entry.kind = static_cast<std::uint32_t>(found - kinds.begin());  // one untold: a kind of its own
   }
-  entry.weight = number(from, "share", 1, 1e9);
-  entry.started_at = number(from, "born_ms", 0, 1e15) / 1000;
+  entry.weight = list::number_field(from, "share", 1, 1e9);
+  entry.started_at = list::number_field(from, "born_ms", 0, 1e15) / 1000;
   return entry;
 }
 
