A caller's connection whose call stands is not idle; the call's end goes back on it

The caller itself holds its connection while its call stands. At fault: CallerSide::due_of, which counts only open set-ups, and end(), which looks for any connection. Ruled out: the core side (the release came in time), the callers (they did not close).

Change: a connection is idle when it carries neither an open set-up nor a call that stands; an end goes to the connection that its call came on, else to another as before; a call named anew on another connection moves there; room is made of such connections last.

The test AnOpenSetupKeepsItsConnection asked for the close of a connection 6.5 s after its call began to stand, which is this very fault: it asks it now of a refused set-up, and ACallThatStandsKeepsItsConnectionUntilItsEndIsTold asks the close after the last end, as strictly.

--- a/src/platform/caller_side.cpp
+++ b/src/platform/caller_side.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -11,7 +12,8 @@
 // A caller that has said nothing usable is told so, by a close, within 3 s of its connecting; this is sooner
 // by what a busy core may add.
 constexpr double kSilent = 2.0;  // s
-// Callers close a connection after 4 s without a call; one that is held beyond is closed here.
+// Callers close a connection after 4 s without a call; one that is held beyond is closed here. One whose call
+// stands is not idle: it may be the only one left on which the call's end can be told.
 constexpr double kIdle = 6.0;             // s
 constexpr std::uint32_t kMostFaults = 3;  // unusable messages until the connection is closed
 // An end is told within 8 s of the call's; one that came late is kept no longer than that.
@@ -27,7 +29,7 @@
 }
 
 double CallerSide::due_of(const Connection& connection) const {
-  if (!connection.open.empty()) return kNever;
+  if (!connection.open.empty() || !connection.standing.empty()) return kNever;
   return connection.answered ? connection.active + kIdle : connection.since + kSilent;
 }
 
@@ -102,6 +104,7 @@
         return;
       }
       if (ports_.hang_up(message.call)) {
+        stands_no_more(message.call, now);
         ports_.send_to_caller(from, write_released(message.call));
         connection.answered = true;
         connection.active = now;
@@ -141,6 +144,7 @@
   if (!setup->stands_at.empty()) {
     if (const char* bad = ports_.take_over(*setup)) return fault(from, id, bad);
     connection.answered = true;  // none is owed
+    stands(id, from, connection);
     return carry(from, connection, now);
   }
   counts_.setups += 1;
@@ -181,6 +185,7 @@
   const auto found = connections_.find(which);
   if (found == connections_.end()) return;
   const std::set<std::uint64_t> open = std::move(found->second.open);
+  for (const std::uint64_t id : found->second.standing) standing_.erase(id);
   due_.erase({found->second.due, which});
   connections_.erase(found);
   if (teller_ == which) teller_ = 0;
@@ -197,10 +202,10 @@
 
 ConnectionId CallerSide::spare_connection() const {
   ConnectionId best = 0;
-  std::pair<bool, double> lowest{true, kNever};
+  std::tuple<bool, bool, double> lowest{true, true, kNever};
   for (const auto& [which, connection] : connections_) {
     if (!connection.open.empty()) continue;
-    const std::pair<bool, double> rank{connection.answered, connection.active};
+    const std::tuple rank{!connection.standing.empty(), connection.answered, connection.active};
     if (best == 0 || rank < lowest || (rank == lowest && which < best)) {
       best = which;
       lowest = rank;
@@ -220,6 +225,31 @@
   if (connection == nullptr) return;
   connection->served = true;
   teller_ = to;
+  stands(id, to, *connection);
+  watch(to, *connection);
+}
+
+void CallerSide::stands(std::uint64_t id, ConnectionId on, Connection& connection) {
+  const auto [place, fresh] = standing_.emplace(id, on);
+  if (!fresh && place->second != on) {  // its caller names it anew, on another connection
+    if (Connection* const before = find(place->second)) {
+      before->standing.erase(id);
+      watch(place->second, *before);
+    }
+    place->second = on;
+  }
+  connection.standing.insert(id);
+}
+
+void CallerSide::stands_no_more(std::uint64_t id, double now) {
+  const auto found = standing_.find(id);
+  if (found == standing_.end()) return;
+  const ConnectionId on = found->second;
+  standing_.erase(found);
+  Connection& connection = *find(on);  // one that is lost takes its calls with it
+  connection.standing.erase(id);
+  connection.active = now;
+  watch(on, connection);
 }
 
 void CallerSide::refuse(std::uint64_t id, int cause, std::optional<std::uint32_t> stay_away_ms, double now) {
@@ -241,7 +271,9 @@
 }
 
 void CallerSide::end(std::uint64_t id, int cause, double now) {
-  ConnectionId to = teller_;
+  const auto own = standing_.find(id);
+  ConnectionId to = own != standing_.end() ? own->second : teller_;
+  stands_no_more(id, now);
   if (to == 0) {
     std::pair<bool, double> best{false, -1};
     for (const auto& [which, connection] : connections_) {
--- a/src/platform/caller_side.hpp
+++ b/src/platform/caller_side.hpp
@@ -2,8 +2,8 @@
 // ends of calls that stand and are told on any connection, and which connections are closed.
 //
 // Pure: bytes and times in, calls of CallerPorts out; no sockets, no clock. Connections are numbers that the
-// shell gives. Bounded: by the connections that the shell admits, the set-ups that the desk takes, and the
-// ends that are kept for want of a connection.
+// shell gives. Bounded: by the connections that the shell admits, the calls that the shell takes, and the ends
+// that are kept for want of a connection.
 #ifndef MINTROCK_SRC_PLATFORM_CALLER_SIDE_HPP_
 #define MINTROCK_SRC_PLATFORM_CALLER_SIDE_HPP_
 
@@ -62,25 +62,29 @@
   void tick(double now);
   double deadline() const;
   // The connection to close for a new one when there is no room: the one that has said nothing for longest,
-  // else the one that has carried nothing for longest; 0: each has an open set-up.
+  // else the one that has carried nothing for longest, those whose calls stand last; 0: each has an open
+  // set-up.
   ConnectionId spare_connection() const;
   void close_for_room(ConnectionId which);
 
   // ---- From the desk ----
   void answer(std::uint64_t id, std::string_view description, double now);
   void refuse(std::uint64_t id, int cause, std::optional<std::uint32_t> stay_away_ms, double now);
-  // A call that stood is over: told on any connection that calls came on, kept until there is one.
+  // A call that stood is over: told on the connection that it came on, else on any that calls came on, kept
+  // until there is one.
   void end(std::uint64_t id, int cause, double now);
 
   std::size_t connections() const { return connections_.size(); }
   std::size_t open() const { return open_.size(); }
+  std::size_t standing() const { return standing_.size(); }
   std::size_t kept_ends() const { return ends_.size(); }
   const CallerCounts& counts() const { return counts_; }
 
  private:
   struct Connection {
     MessageCutter cutter;
-    std::set<std::uint64_t> open;  // set-ups that are owed an answer here
+    std::set<std::uint64_t> open;      // set-ups that are owed an answer here
+    std::set<std::uint64_t> standing;  // calls that came on it and stand: its caller waits for their ends
     double since = 0;
     double active = 0;      // when it last carried something of a call's
     bool answered = false;  // something was said to it: its caller is not kept waiting
@@ -100,6 +104,9 @@
   // Answers what can't be used, and closes the connection that keeps sending it.
   void fault(ConnectionId from, std::uint64_t id, const char* what);
   void close(ConnectionId which);
+  // The call stands, or is known to stand: its end is told here while this connection lasts.
+  void stands(std::uint64_t id, ConnectionId on, Connection& connection);
+  void stands_no_more(std::uint64_t id, double now);
   // The final answer of an open set-up goes to the connection that it is owed on; 0: none is owed.
   ConnectionId settle(std::uint64_t id, std::string_view bytes, double now);
   Connection* find(ConnectionId which);
@@ -109,8 +116,9 @@
 
   CallerPorts& ports_;
   std::unordered_map<ConnectionId, Connection> connections_;
-  std::unordered_map<std::uint64_t, ConnectionId> open_;  // where each open set-up is owed its answer
-  std::set<std::pair<double, ConnectionId>> due_;         // when each quiet connection is looked at
+  std::unordered_map<std::uint64_t, ConnectionId> open_;      // where each open set-up is owed its answer
+  std::unordered_map<std::uint64_t, ConnectionId> standing_;  // where each call that stands came, while open
+  std::set<std::pair<double, ConnectionId>> due_;             // when each quiet connection is looked at
   ConnectionId teller_ = 0;                               // where ends are told; 0: to be looked for
   std::deque<End> ends_;
   CallerCounts counts_;
--- a/tests/platform/caller_side_test.cpp
+++ b/tests/platform/caller_side_test.cpp
@@ -188,13 +188,70 @@
   w.setup(1, 7, 0.1);
   w.side.tick(100);
   EXPECT_TRUE(w.closed.empty());
-  w.side.answer(7, "v=0", 100);
+  w.side.refuse(7, 42, 100, 100);
   w.side.tick(105);
   EXPECT_TRUE(w.closed.empty());
   w.side.tick(106.5);
   EXPECT_EQ(w.closed.count(1), 1u);
 }
 
+// It may be the last one that the call's end can be told on.
+TEST(CallerSide, ACallThatStandsKeepsItsConnectionUntilItsEndIsTold) {
+  World w;
+  w.side.opened(1, 0);
+  w.setup(1, 7, 0.1);
+  w.setup(1, 8, 0.1);
+  w.side.answer(7, "v=0", 0.2);
+  w.side.answer(8, "v=0", 0.2);
+  w.standing = {8};
+  w.side.tick(1000);
+  EXPECT_TRUE(w.closed.empty());
+  w.side.end(7, 16, 1000);
+  EXPECT_EQ(w.sent.back().to, 1u);
+  EXPECT_EQ(w.sent.back().call, 7u);
+  EXPECT_EQ(w.side.kept_ends(), 0u);
+  w.side.tick(2000);
+  EXPECT_TRUE(w.closed.empty()) << "the other one stands";
+  w.release(1, 8, 2000);
+  w.side.tick(2005);
+  EXPECT_TRUE(w.closed.empty());
+  w.side.tick(2006.5);
+  EXPECT_EQ(w.closed.count(1), 1u);
+  EXPECT_EQ(w.side.standing(), 0u);
+}
+
+TEST(CallerSide, AnEndIsToldOnTheConnectionOfItsCallElseOnAnother) {
+  World w;
+  w.side.opened(1, 0);
+  w.setup(1, 7, 0.1);
+  w.setup(1, 8, 0.1);
+  w.side.answer(7, "v=0", 0.2);
+  w.side.answer(8, "v=0", 0.2);
+  w.side.opened(2, 0.3);
+  w.setup(2, 9, 0.3);
+  w.side.answer(9, "v=0", 0.4);
+  w.side.end(7, 16, 0.5);
+  EXPECT_EQ(w.sent.back().to, 1u) << "not where one was served last";
+  w.side.lost(1, 0.6);
+  w.side.end(8, 16, 0.7);
+  EXPECT_EQ(w.sent.back().to, 2u);
+  EXPECT_EQ(w.side.standing(), 1u);
+}
+
+// After the proxy's restart, or when its caller connects anew.
+TEST(CallerSide, ACallNamedAnewOnAnotherConnectionMovesThere) {
+  World w;
+  w.side.opened(1, 0);
+  w.setup(1, 7, 0.1);
+  w.side.answer(7, "v=0", 0.2);
+  w.side.opened(2, 1);
+  w.setup(2, 7, 1, "voice", "at:s-1");
+  w.side.tick(7);
+  EXPECT_EQ(w.closed, std::set<ConnectionId>{1}) << "nothing of its own stands any more";
+  w.side.end(7, 16, 8);
+  EXPECT_EQ(w.sent.back().to, 2u);
+}
+
 TEST(CallerSide, EndsAreToldWhereCallsWereServedOrKept) {
   World w;
   w.side.opened(1, 0);  // silent: may be anybody
