A server that stops is found by when it last served, and a cut-off machine is waited for

Followed on a trial build (connections and bytes of that server): told as draining at 11.13, it refuses connections from 12.46, answers what is out ('answer' at 13.853, after two refusals), tells no state and no end, and resets its connections at 16.4. Over all 30 proxies 38 messages came after a refusal, none of them a state or an end. At fault: CoreLinks::drop measures the 5 s from heard_, which every late answer sets anew.

Change: serves_, when a connection last came up or the server told its state or an end, is what the 5 s run from; once refused, it is asked again whatever else it says. A machine to which nothing comes up is waited for 7 s instead of 5 (ends are due within 8 s, and split+mass cuts zones off for 6 s with their calls standing), and the verdict falls at that instant, not at the next retry.

LateAnswersOfAServerThatStopsPutNoEndsOff and CallsOutliveACutOfSixSeconds were seen to fail with the old times. 80 platform tests pass.

--- a/src/platform/core_links.cpp
+++ b/src/platform/core_links.cpp
@@ -12,9 +12,12 @@
 constexpr double kRetryLongest = 1.0;
 // With this long nothing heard from a server that holds calls, a new connection shows whether it is there.
 constexpr double kQuiet = 1.5;  // s
-// After so long without a word, and with no connection to be had, what stood there is over. Sooner it may be
-// a server that drains, and takes no connections while it finishes its calls; ends must be told within 8 s.
-constexpr double kGone = 5.0;         // s
+// Ends must be told within 8 s, whoever is gone. A process that refuses connections and shows for so long that
+// it serves nobody has stopped: sooner it may drain, or hold as many connections as it can, with its calls.
+constexpr double kStopped = 5.0;  // s
+// A machine to which no connection comes up may be cut off, with its calls standing: it is waited for as long
+// as the ends allow.
+constexpr double kVanished = 7.0;     // s
 constexpr double kOweRelease = 30.0;  // s; by then the call has ended there by itself
 constexpr std::size_t kMostOwed = 4096;
 constexpr std::size_t kMostGivenUp = 1024;  // ids of late answers that one connection remembers
@@ -151,12 +154,24 @@
   if (any_up() == 0) dead("its address is another's", now);
 }
 
+void CoreLinks::note_serves(double now) {
+  serves_ = now;
+  refused_ = false;
+}
+
+// While it may be gone with calls that stand there, a new connection is begun now and then: it tells.
+double CoreLinks::probe_at() const {
+  if (idle() || address_lost_) return kNever;
+  return refused_ ? retry_at_ : std::max(heard_ + kQuiet, retry_at_);
+}
+
 void CoreLinks::up(ConnectionId which, double now) {
   const auto found = connections_.find(which);
   if (found == connections_.end()) return;
   Connection& connection = found->second;
   connection.up = true;
   heard_ = now;
+  note_serves(now);
   silent_since_ = -1;
   retry_gap_ = 0;
   // Before anything new goes out: a call may be set up here again under its own id.
@@ -186,7 +201,8 @@
   connections_.erase(found);
   // Nobody takes connections there, and none is open: what stood was cut with the process. While one is open
   // it may be a draining server that finishes its calls, unless it has been quiet for too long.
-  const bool quiet = any_up() == 0 || now >= heard_ + kGone;
+  const bool quiet = any_up() == 0 || now >= serves_ + kStopped;
+  refused_ = refused_ || refused;
   const bool process_gone = (refused && quiet) || (address_lost_ && any_up() == 0);
   if (process_gone) dead(refused ? "refused" : "its address is another's", now);
   for (const std::uint64_t id : gone.open) {
@@ -251,6 +267,7 @@
     case Type::kTestResult:
       return;
     case Type::kState:
+      note_serves(now);
       return ports_.core_load(server_, message.report);
     case Type::kAnswer: {
       if (!of_attempt) {
@@ -277,6 +294,7 @@
       if (connection.given_up.erase(message.id) != 0 || out != out_.end()) {
         return ports_.core_load(server_, message.report);
       }
+      note_serves(now);
       standing_.erase(message.id);
       return ports_.core_over(server_, message.id, message.cause != 16, message.report);
     }
@@ -292,8 +310,8 @@
     const std::size_t want = state_ == ServerEntry::State::kReady ? std::min(kKept, settings_.most) : 1;
     if (connections_.size() < want) due = std::min(due, retry_at_);
   }
-  if (!idle() && !address_lost_) due = std::min(due, std::max(heard_ + kQuiet, retry_at_));
-  return due;
+  if (silent_since_ >= 0) due = std::min(due, heard_ + kVanished);
+  return std::min(due, probe_at());
 }
 
 void CoreLinks::tick(double now) {
@@ -307,12 +325,12 @@
     ports_.close_core(id);
     drop(id, false, now);
   }
-  if (silent_since_ >= 0 && now >= heard_ + kGone) {
+  if (silent_since_ >= 0 && now >= heard_ + kVanished) {
     dead("no connection comes up", now);
   }
   while (!owed_.empty() && owed_.front().until <= now) owed_.pop_front();
   keep_up(now);
-  if (!idle() && !address_lost_ && now >= heard_ + kQuiet && now >= retry_at_) {
+  if (now >= probe_at()) {
     // Is it there at all? A new connection tells, and brings the group's state. An old one makes room.
     if (connections_.size() >= std::min(kKept, settings_.most)) {
       for (const auto& [id, connection] : connections_) {
--- a/src/platform/core_links.hpp
+++ b/src/platform/core_links.hpp
@@ -126,6 +126,8 @@
   void release(std::uint64_t id, ConnectionId on, double now);
   void end(std::uint64_t id, Outcome outcome, double now);
   void dead(const char* why, double now);
+  void note_serves(double now);
+  double probe_at() const;
   bool wanted() const;
   void keep_up(double now);
 
@@ -140,6 +142,10 @@
   std::unordered_set<std::uint64_t> standing_;
   std::deque<Owed> owed_;  // releases that no connection could carry yet
   double heard_ = 0;       // when anything came from it
+  // When it last showed that it serves: a connection came up, or it told its state or the end of a call. One
+  // that stops answers what is out, takes no connections, and tells neither.
+  double serves_ = 0;
+  bool refused_ = false;   // a connection was, since then
   double retry_at_ = 0;    // no connection is begun by itself before this
   double retry_gap_ = 0;
   double silent_since_ = -1;  // connections have not come up since then; below 0: they do
--- a/tests/platform/core_links_test.cpp
+++ b/tests/platform/core_links_test.cpp
@@ -309,6 +309,68 @@
   EXPECT_EQ(w.links.standing(), 1u);
 }
 
+// join+mass, seed 2: a server that stopped refused connections from 12.46 s and still answered a set-up that
+// was out at 14.76 s; a call that had ended with its stop at 11.46 s was told over at 19.76 s.
+TEST(CoreLinks, LateAnswersOfAServerThatStopsPutNoEndsOff) {
+  World w;
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.answer(w.where(11), 11, 0.1);
+  w.set_up(2, 0, 12, 0.2);
+  w.say(1, "state", 0, "", 1.0);
+  w.events.clear();
+  bool answered = false;
+  double now = 1.0;
+  while (now < 12 && w.links.standing() != 0) {
+    now = std::max(now + 0.001, std::min(w.links.deadline(), now + 1));
+    if (now >= 4.3 && !answered) {
+      w.answer(w.where(12), 12, 4.3);
+      answered = true;
+    }
+    w.links.tick(now);
+    for (const ConnectionId each : std::exchange(w.begun, {})) w.links.down(each, true, now);
+  }
+  EXPECT_TRUE(answered);
+  EXPECT_EQ(std::count(w.events.begin(), w.events.end(), "cut 11"), 1);
+  EXPECT_GE(now, 6.0);
+  EXPECT_LT(now, 7.5);
+}
+
+// It holds as many connections as it can: what is refused there is no dead server.
+TEST(CoreLinks, AFullServerThatTellsItsStateKeepsItsCalls) {
+  World w;
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.answer(w.where(11), 11, 0.1);
+  w.events.clear();
+  for (int step = 0; step < 300; ++step) {
+    const double now = 0.1 + step * 0.1;
+    w.begun.clear();
+    w.links.tick(now);
+    for (const ConnectionId each : w.begun) w.links.down(each, true, now);
+    if (step % 10 == 0) w.say(w.where(11), "state", 0, "", now);
+  }
+  EXPECT_TRUE(w.events.empty());
+  EXPECT_EQ(w.links.standing(), 1u);
+}
+
+// split+mass cuts a zone off for 6 s: its calls stand all the while.
+TEST(CoreLinks, CallsOutliveACutOfSixSeconds) {
+  World w;
+  w.all_up(0);
+  w.set_up(1, 0, 11, 0);
+  w.answer(w.where(11), 11, 0.1);
+  w.events.clear();
+  for (double now = 0.1; now < 6.3; now += 0.05) w.links.tick(now);
+  w.all_up(6.3);
+  for (double now = 6.3; now < 12; now += 0.05) {
+    w.links.tick(now);
+    w.all_up(now);
+  }
+  EXPECT_TRUE(w.events.empty());
+  EXPECT_EQ(w.links.standing(), 1u);
+}
+
 // A vanished machine: open connections stay open and quiet, new ones never come up. Told within 8 s.
 TEST(CoreLinks, AVanishedMachineIsFoundOutByConnectionsThatNeverComeUp) {
   World w;
