Crossings of shutdown, list, hand-overs and callers gone, each forced by a test

Found by them: behind a malformed event the next one of the same delivery counted as a second and third request for it, and was taken at the third; what comes behind is left alone until the watch is begun again.

--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -466,6 +466,7 @@
 }
 
 void PlatformEdge::on_event(const list::SseEvent& event) {
+  if (asking_) return;  // behind one that is asked for again
   try {
     const TopologyEvent news = parse_topology_event(event.data, config_.kinds);
     // With one missing, what it told is not known, and nothing behind it is taken as if it were. A whole list
@@ -488,7 +489,11 @@
   // The last time the watch goes on: what comes next is taken.
   if (++asked_ > kAskedAgain) return;
   // Not within the watch's own call.
-  loop_.defer([this] { bus_->again_after(std::to_string(offset_)); });
+  asking_ = true;
+  loop_.defer([this] {
+    asking_ = false;
+    bus_->again_after(std::to_string(offset_));
+  });
 }
 
 void PlatformEdge::take_news(const TopologyEvent& event, bool first) {
--- a/src/platform/platform_edge.hpp
+++ b/src/platform/platform_edge.hpp
@@ -123,6 +123,7 @@
   std::uint64_t offset_ = 0;
   std::uint64_t asked_behind_ = 0;  // the watch was begun again behind this event
   int asked_ = 0;                   // so many times
+  bool asking_ = false;             // in this turn
   std::map<ServerId, Core> cores_;
   CoreCounts core_counts_;
   ConnectionId last_connection_ = 0;
--- a/tests/edge/call_desk_test.cpp
+++ b/tests/edge/call_desk_test.cpp
@@ -312,5 +312,26 @@
   }
 }
 
+// The process ends: every call that waits gets its one answer, whatever it waits for; what stands is left.
+TEST(CallDesk, TheEndOfTheProcessAnswersAllThatWaits) {
+  World w;
+  w.servers({ServerEntry::State::kReady}, 0);
+  Offer offer;
+  offer.ttl_s = 9;
+  for (CallId call = 1; call <= 6; ++call) w.desk->offer(w.desk->next_call(), offer, 0.1);
+  ASSERT_GE(w.sent.size(), 2u);
+  const Sent first = w.sent.front();
+  w.desk->stood(first.call, first.attempt, {}, 0.101);
+  const std::size_t out = w.sent.size() - 1;
+  const std::size_t released = w.released.size();
+  w.desk->answer_all(0.102);
+  EXPECT_EQ(w.desk->open(), 0u);
+  EXPECT_EQ(w.desk->standing(), 1u);
+  EXPECT_EQ(w.released.size(), released + out) << "what is out is let go";
+  for (CallId call = 1; call <= 6; ++call) ASSERT_EQ(w.answers[call].size(), 1u) << call;
+  w.desk->tick(100);
+  for (CallId call = 1; call <= 6; ++call) EXPECT_EQ(w.answers[call].size(), 1u) << call;
+}
+
 }  // namespace
 }  // namespace mintrock::edge
--- a/tests/net/loop_test.cpp
+++ b/tests/net/loop_test.cpp
@@ -1,6 +1,9 @@
 #include "net/loop.hpp"
 
 #include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <stdexcept>
 
@@ -131,5 +134,123 @@
   EXPECT_EQ(got, "last words");
 }
 
+// One end of a connection on the loop, the other in the test's hand: what it writes is there at once.
+struct Wire {
+  explicit Wire(Loop& loop) {
+    int ends[2];
+    if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends) != 0) std::abort();
+    stream = Stream::adopt(loop, ends[0], Address{}, 1 << 20);
+    other = ends[1];
+  }
+  ~Wire() { hang_up(); }
+  void say(std::string_view bytes) const {
+    ASSERT_EQ(::send(other, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+  }
+  void hang_up() {
+    if (other >= 0) ::close(other);
+    other = -1;
+  }
+  std::shared_ptr<Stream> stream;
+  int other = -1;
+};
+
+// An answer and the time-out it races, or a caller's close and the try it is to stop, in one turn.
+TEST(Turns, WhatHasArrivedIsReadBeforeTimersAct) {
+  Loop loop;
+  Wire answer(loop);
+  Wire caller(loop);
+  std::string order;
+  answer.stream->set({{}, [&](std::string_view) { order += "answer "; }, {}});
+  caller.stream->set({{}, {}, [&](const std::string&) { order += "closed "; }});
+  answer.say("x");
+  caller.hang_up();
+  loop.after(0, [&] {
+    order += "timer";
+    loop.stop();
+  });
+  loop.run();
+  EXPECT_TRUE(order == "answer closed timer" || order == "closed answer timer") << order;
+}
+
+// Room is made by those that have gone before anybody else's connection is closed for it.
+TEST(Turns, WhatHasArrivedIsReadBeforeConnectionsAreAccepted) {
+  Loop loop;
+  Wire caller(loop);
+  std::string order;
+  caller.stream->set({{}, {}, [&](const std::string&) { order += "closed "; }});
+  Listener listener(loop, Address{}, [&](int fd, Address) {
+    ::close(fd);
+    order += "accepted";
+    loop.stop();
+  });
+  Listener elsewhere(loop, Address{}, [](int fd, Address) { ::close(fd); });
+  const auto visitor = Stream::connect(loop, listener.local(), 1 << 10);
+  caller.hang_up();
+  loop.run();
+  EXPECT_EQ(order, "closed accepted");
+}
+
+// What came before the other side went is read, though writing to it fails first.
+TEST(Streams, AnAnswerBehindACloseIsReadThoughAWriteFails) {
+  Loop loop;
+  Wire wire(loop);
+  std::string got;
+  bool closed = false;
+  wire.stream->set({{},
+                    [&](std::string_view bytes) { got += bytes; },
+                    [&](const std::string&) {
+                      closed = true;
+                      loop.stop();
+                    }});
+  wire.say("the answer");
+  wire.hang_up();
+  wire.stream->write("a set-up that meets nobody");
+  loop.run();
+  EXPECT_EQ(got, "the answer");
+  EXPECT_TRUE(closed);
+}
+
+TEST(Streams, WhatTheLastTurnWroteGoesOut) {
+  Loop loop;
+  Wire wire(loop);
+  loop.after(0, [&] {
+    wire.stream->write("bye");
+    loop.stop();
+  });
+  loop.run();
+  char buffer[8];
+  EXPECT_EQ(::recv(wire.other, buffer, sizeof buffer, 0), 3);
+}
+
+TEST(Listeners, TheBacklogIsTakenBeforeTheListenerGoes) {
+  Loop loop;
+  int accepted = 0;
+  Listener listener(loop, Address{}, [&](int fd, Address) {
+    ::close(fd);
+    accepted += 1;
+  });
+  std::vector<std::shared_ptr<Stream>> visitors;
+  for (int i = 0; i < 200; ++i) visitors.push_back(Stream::connect(loop, listener.local(), 1 << 10));
+  listener.accept_pending();  // the loop has not turned once
+  EXPECT_EQ(accepted, 200);
+}
+
+TEST(Signals, OneHeldBackIsGivenToItsHandlerOnceItStands) {
+  sigset_t held;
+  sigemptyset(&held);
+  sigaddset(&held, SIGUSR1);
+  pthread_sigmask(SIG_BLOCK, &held, nullptr);
+  raise(SIGUSR1);
+  Loop loop;
+  bool told = false;
+  loop.on_signal(SIGUSR1, [&] {
+    told = true;
+    loop.stop();
+  });
+  loop.after(5, [&] { loop.stop(); });
+  loop.run();
+  EXPECT_TRUE(told);
+}
+
 }  // namespace
 }  // namespace mintrock::net
--- a/tests/platform/caller_side_test.cpp
+++ b/tests/platform/caller_side_test.cpp
@@ -338,5 +338,65 @@
   EXPECT_GT(w.side.deadline(), 1e15);
 }
 
+// A set-up in pieces: what has begun to arrive is not idle, and a trickle is not for ever.
+TEST(CallerSide, AHalfArrivedSetupIsWaitedForWithinBounds) {
+  World w;
+  w.side.opened(1, 0);
+  w.setup(1, 7, 0.1);
+  w.side.refuse(7, 42, 100, 0.2);
+  const std::string bytes = write_message(CallerType::kSetup, 8,
+                                          {{Parameter::kClass, "voice"},
+                                           {Parameter::kLeft, "1500"},
+                                           {Parameter::kFigures, "dest:0"},
+                                           {Parameter::kDescription, "v=0"}});
+  w.side.received(1, bytes.substr(0, 5), 6.1);
+  w.side.tick(6.3);  // idle since 0.2
+  EXPECT_TRUE(w.closed.empty());
+  w.side.received(1, bytes.substr(5), 7);
+  EXPECT_EQ(w.offered, (std::vector<std::uint64_t>{7, 8}));
+  w.side.refuse(8, 42, 100, 7.1);
+  for (double now = 7.2; now < 20 && w.closed.empty(); now += 0.1) {
+    w.side.received(1, std::string("\0\x05\x06\0\0\0", 6), now);  // pieces of messages without end
+    w.side.tick(now);
+  }
+  EXPECT_EQ(w.closed.count(1), 1u);
+}
+
+TEST(CallerSide, RoomIsNotMadeOfAHalfArrivedSetupWhereAnotherIsFree) {
+  World w;
+  w.side.opened(1, 0);
+  w.side.received(1, std::string("\0\x40\x01", 3), 0.1);
+  w.side.opened(2, 0.2);
+  w.setup(2, 7, 0.3);
+  w.side.answer(7, "v=0", 0.4);
+  EXPECT_EQ(w.side.spare_connection(), 2u) << "though its call stands";
+}
+
+// The process ends: whatever is owed comes first.
+TEST(CallerSide, LeavingClosesEachConnectionBehindItsLastAnswer) {
+  World w;
+  w.side.opened(1, 0);
+  w.setup(1, 7, 0.1);
+  w.side.answer(7, "v=0", 0.2);  // stands
+  w.side.opened(2, 0);
+  w.setup(2, 8, 0.1);  // open
+  w.side.opened(3, 0);
+  w.side.received(3, std::string("\0\x40\x01", 3), 4.9);  // half arrived
+  w.side.opened(4, 4.98);                                 // its set-up may lie unread
+  w.side.tick(1);
+  w.side.leave();
+  w.side.tick(5);
+  EXPECT_EQ(w.closed, std::set<ConnectionId>{1});
+  w.side.tick(5.1);
+  EXPECT_EQ(w.closed, (std::set<ConnectionId>{1, 4}));
+  w.side.refuse(8, 41, {}, 5.2);
+  EXPECT_EQ(w.sent.back().to, 2u);
+  w.side.tick(5.2);
+  EXPECT_EQ(w.closed, (std::set<ConnectionId>{1, 2, 4}));
+  w.side.tick(6.95);
+  EXPECT_EQ(w.side.connections(), 0u);
+  EXPECT_EQ(w.side.standing(), 0u);
+}
+
 }  // namespace
 }  // namespace mintrock::platform
--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -1,11 +1,15 @@
 // The whole route on loopback: a caller, a core server and an event bus, all stand-ins on one loop.
 #include "platform/platform_edge.hpp"
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdio>
+#include <cstring>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -113,6 +117,7 @@
   MessageCutter cutter;
   std::vector<Got> got;
   bool closed = false;
+  std::size_t asked = 0;  // set-ups, where a test counts them
   std::shared_ptr<net::Stream> stream;
 };
 
@@ -469,5 +474,282 @@
   EXPECT_EQ(stage.edge->desk().open(), 0u);
 }
 
+// ---- The list: what is missing is asked for again, and nothing behind it is believed ----
+
+json serving(const std::string& host, const net::Address& at, int block = 1) {
+  return {{"host", host}, {"dial", at.str()}, {"class", "small"}, {"block", block}, {"health", "SERVING"}};
+}
+
+// Waits for the watch to be begun for the nth time, and tells behind which event.
+std::string watch_begun(Stage& stage, std::size_t nth) {
+  const bool begun = stage.until([&] {
+    return stage.bus.requests.size() >= nth &&
+           stage.bus.requests[nth - 1].find("\r\n\r\n") != std::string::npos;
+  });
+  if (!begun) return "never";
+  const std::string& request = stage.bus.requests[nth - 1];
+  const std::size_t at = request.find("Last-Event-ID: ");
+  return at == std::string::npos ? "none" : request.substr(at + 15, request.find('\r', at) - at - 15);
+}
+
+TEST(PlatformEdge, AMissingEventIsAskedForAndNothingBehindItIsTaken) {
+  Stage stage;
+  ASSERT_EQ(watch_begun(stage, 1), "1");
+  stage.bus.streams[0]->write(stage.event(3, json::array({serving("s-3", stage.second.listener.local())})) +
+                              stage.event(4, json::array({serving("s-4", stage.second.listener.local())})));
+  ASSERT_EQ(watch_begun(stage, 2), "1");
+  EXPECT_EQ(stage.edge->servers(), 1u) << "neither of the two";
+  stage.bus.streams[1]->write(stage.event(2, json::array()) +
+                              stage.event(3, json::array({serving("s-3", stage.second.listener.local())})));
+  EXPECT_TRUE(stage.until([&] { return stage.edge->servers() == 2; }));
+}
+
+TEST(PlatformEdge, AMalformedEventIsAskedForAgain) {
+  Stage stage;
+  ASSERT_EQ(watch_begun(stage, 1), "1");
+  stage.bus.streams[0]->write("id: 2\ndata: {\"offset\":2,\n\n" +
+                              stage.event(3, json::array({serving("s-3", stage.second.listener.local())})));
+  ASSERT_EQ(watch_begun(stage, 2), "1");
+  EXPECT_EQ(stage.edge->servers(), 1u);
+}
+
+// One that can never be read must not stop the list for good.
+TEST(PlatformEdge, APoisonedEventIsPassedOverAfterAWhile) {
+  Stage stage;
+  std::size_t begun = 0;
+  while (begun < 10 && stage.edge->servers() == 1) {
+    ASSERT_EQ(watch_begun(stage, ++begun), "1");
+    stage.bus.streams[begun - 1]->write(
+        "id: 2\ndata: poison\n\n" +
+        stage.event(3, json::array({serving("s-3", stage.second.listener.local())})));
+    stage.until([&] { return stage.edge->servers() == 2 || stage.bus.requests.size() > begun; });
+  }
+  EXPECT_EQ(stage.edge->servers(), 2u);
+  EXPECT_EQ(begun, 4u);
+}
+
+TEST(PlatformEdge, AWholeListNeedsNothingBeforeIt) {
+  Stage stage;
+  ASSERT_EQ(watch_begun(stage, 1), "1");
+  stage.bus.streams[0]->write(
+      stage.event(9, json::array({serving("s-9", stage.second.listener.local())}), true));
+  EXPECT_TRUE(stage.until([&] { return stage.edge->servers() == 1 && stage.second.streams.size() >= 2; }));
+}
+
+// An id at a new address is another process: new calls go there, what stands at the old one ends there.
+TEST(PlatformEdge, AnIdAtANewAddressIsMetThereAndItsOldCallsEndAtTheOldOne) {
+  Stage stage;
+  Caller caller(stage.loop, stage.edge->listening());
+  caller.setup(7);
+  ASSERT_TRUE(stage.until([&] { return caller.count(9) == 1; }));
+  ASSERT_EQ(watch_begun(stage, 1), "1");
+  stage.bus.streams[0]->write(
+      stage.event(2, json::array({serving("s-1", stage.second.listener.local(), 0)})));
+  ASSERT_TRUE(stage.until([&] { return stage.second.streams.size() >= 2; }));
+  caller.setup(8);
+  ASSERT_TRUE(stage.until([&] { return caller.count(9) == 2; }));
+  EXPECT_EQ(stage.second.count("setup"), 1u);
+  EXPECT_EQ(stage.core.count("setup"), 1u);
+  EXPECT_EQ(caller.count(12), 0u) << "the first one stands";
+  stage.core.say(0, R"({"type":"release","id":"0000000000000007","fields":{},"cause":16})");
+  ASSERT_TRUE(stage.until([&] { return caller.count(12) == 1; }));
+  EXPECT_EQ(caller.got.back().call, 7u);
+  EXPECT_TRUE(stage.until([&] { return stage.edge->servers() == 1; })) << "and the old one is forgotten";
+}
+
+// A new id at an old address, and then the old one there again.
+TEST(PlatformEdge, AnAddressIsTheOnesThatWasToldThereLast) {
+  Stage stage;
+  ASSERT_EQ(watch_begun(stage, 1), "1");
+  const net::Address at = stage.core.listener.local();
+  stage.bus.streams[0]->write(stage.event(2, json::array({serving("s-2", at, 0)})));
+  ASSERT_TRUE(stage.until([&] { return stage.edge->servers() == 2; }));
+  stage.bus.streams[0]->write(stage.event(3, json::array({{{"host", "s-2"}, {"health", "DELETED"}}})) +
+                              stage.event(4, json::array({serving("s-1", at, 0)})));
+  ASSERT_TRUE(stage.until([&] { return stage.edge->servers() == 1; }));
+  for (const auto& stream : stage.core.streams) {
+    if (stream) stream->reset();  // its connections have to be made anew
+  }
+  const std::size_t before = stage.core.streams.size();
+  EXPECT_TRUE(stage.until([&] { return stage.core.streams.size() > before; }));
+  Caller caller(stage.loop, stage.edge->listening());
+  EXPECT_TRUE(stage.until([&] {
+    if (caller.got.size() == caller.asked) caller.setup(++caller.asked);
+    return caller.count(9) == 1;
+  })) << "it is suspected for a while, no more";
+}
+
+// ---- Hand-overs ----
+
+TEST(PlatformEdge, ACallAtAServerThatTheListTellsLaterIsTakenOverThen) {
+  Stage stage;
+  Caller caller(stage.loop, stage.edge->listening());
+  caller.setup(0xbb, "status", "1500", "at:s-2");
+  ASSERT_TRUE(stage.until([&] { return stage.edge->callers().counts().messages == 1; }));
+  EXPECT_TRUE(caller.got.empty());
+  ASSERT_EQ(watch_begun(stage, 1), "1");
+  stage.bus.streams[0]->write(stage.event(2, json::array({serving("s-2", stage.second.listener.local())})));
+  ASSERT_TRUE(stage.until([&] { return stage.second.streams.size() >= 2; }));
+  stage.second.say(0, R"({"type":"release","id":"00000000000000bb","fields":{},"cause":16})");
+  ASSERT_TRUE(stage.until([&] { return caller.count(12) == 1; }));
+  EXPECT_EQ(caller.got.back().cause, 16);
+  EXPECT_EQ(stage.edge->callers().standing(), 0u);
+}
+
+TEST(PlatformEdge, ACallAtAServerThatIsNeverToldIsToldOverInTime) {
+  Stage stage;
+  Caller caller(stage.loop, stage.edge->listening());
+  caller.setup(0xbb, "status", "1500", "at:s-77");
+  const double begun = stage.loop.now();
+  ASSERT_TRUE(stage.until([&] { return caller.count(12) == 1; }));
+  EXPECT_GT(stage.loop.now() - begun, 4) << "news may be late";
+  EXPECT_LT(stage.loop.now() - begun, 8);
+}
+
+// The end of a call of the former life comes first, and meets a caller that is not its own.
+TEST(PlatformEdge, ACallNamedAfterItsEndIsToldOver) {
+  Stage stage;
+  Caller other(stage.loop, stage.edge->listening());
+  other.setup(1);
+  ASSERT_TRUE(stage.until([&] { return other.count(9) == 1; }));
+  stage.core.say(0, R"({"type":"release","id":"00000000000000bb","fields":{},"cause":16})");
+  ASSERT_TRUE(stage.until([&] { return other.count(12) == 1; }));
+  Caller own(stage.loop, stage.edge->listening());
+  own.setup(0xbb, "status", "1500", "at:s-1");
+  ASSERT_TRUE(stage.until([&] { return own.count(12) == 1; }));
+  EXPECT_EQ(own.got[0].call, 0xbbu);
+  own.setup(0xbb, "status", "1500", "at:s-1");  // told twice
+  EXPECT_TRUE(stage.until([&] { return own.count(12) == 2; }));
+  EXPECT_EQ(stage.edge->callers().standing(), 1u) << "the other caller's";
+}
+
+// ---- Shutdown ----
+
+// Set-ups arrive up to the very end, on connections that lie accepted by the system alone: each is answered.
+TEST(PlatformEdge, EverySetupThatIsTakenBeforeTheEndIsAnswered) {
+  Stage stage;
+  struct Late {
+    int fd;
+    std::uint64_t id;
+  };
+  std::vector<Late> callers;
+  const net::Address to = stage.edge->listening();
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(to.ip);
+  address.sin_port = htons(to.port);
+  bool ended = false;
+  // Connected and written within one callback: the proxy sees neither before its next turn.
+  std::function<void()> more = [&] {
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    if (fd < 0 || connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
+      if (fd >= 0) close(fd);
+      ended = true;  // the listener is gone
+      return;
+    }
+    const std::uint64_t id = 1000 + callers.size();
+    const std::string bytes = write_message(CallerType::kSetup, id,
+                                            {{Parameter::kClass, "status"},
+                                             {Parameter::kLeft, "1500"},
+                                             {Parameter::kNumber, std::to_string(id)},
+                                             {Parameter::kFigures, "dest:0;width:1;via:-1"},
+                                             {Parameter::kDescription, "offer"}});
+    if (send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size())) {
+      callers.push_back({fd, id});
+    }
+    stage.loop.after(0.001, more);
+  };
+  stage.edge->drain();
+  stage.loop.after(0.84, more);
+  stage.loop.after(9, [&] { stage.loop.stop(); });
+  const double begun = stage.loop.now();
+  stage.loop.run();  // the proxy itself ends it
+  EXPECT_LT(stage.loop.now() - begun, 5);
+  EXPECT_TRUE(ended);
+  EXPECT_GT(callers.size(), 10u);
+  for (const Late& each : callers) {
+    MessageCutter cutter;
+    char buffer[4096];
+    ssize_t got = 0;
+    std::optional<CallerMessage> message;
+    timeval most{2, 0};
+    setsockopt(each.fd, SOL_SOCKET, SO_RCVTIMEO, &most, sizeof most);
+    std::string type = "none";
+    while (type == "none" && (got = recv(each.fd, buffer, sizeof buffer, 0)) > 0) {
+      cutter.feed(std::string_view(buffer, static_cast<std::size_t>(got)));
+      if ((message = cutter.next()) && message->call == each.id) type = std::to_string(message->type);
+    }
+    EXPECT_TRUE(type == "9" || type == "12") << each.id << " " << type << " " << std::strerror(errno);
+    close(each.fd);
+  }
+  EXPECT_EQ(stage.edge->callers().open(), 0u);
+}
+
+// A set-up that its core server holds gets its answer before the process ends: deadlines shorter and longer
+// than the time that an end has.
+TEST(PlatformEdge, WhatIsOpenAtTheEndIsAnsweredBeforeIt) {
+  for (const double deadline : {0.5, 9.0}) {
+    Stage stage(256, [&](json& config, Stage&) {
+      config["settings"]["classes"][0]["deadline_s"] = deadline;
+      config["settings"]["classes"][0]["goal_time_s"] = deadline;
+    });
+    stage.core.reply = {};
+    Caller caller(stage.loop, stage.edge->listening());
+    caller.setup(7, "status", "9000");
+    ASSERT_TRUE(stage.until([&] { return stage.core.count("setup") == 1; }));
+    const double begun = stage.loop.now();
+    stage.edge->drain();
+    stage.loop.after(11, [&] { stage.loop.stop(); });
+    stage.loop.run();
+    EXPECT_LT(stage.loop.now() - begun, std::min(3.0, deadline) + 0.7) << "killed by then";
+    EXPECT_EQ(stage.edge->callers().open(), 0u);
+    EXPECT_TRUE(stage.until([&] { return caller.got.size() == 1 && caller.closed; }));
+    EXPECT_EQ(caller.count(12), 1u) << deadline;
+    EXPECT_TRUE(stage.until([&] { return stage.core.count("release") == 1; })) << "and it is let go there";
+  }
+}
+
+// A set-up in pieces when the process ends: the rest still comes, and is answered.
+TEST(PlatformEdge, AHalfArrivedSetupIsAnsweredThroughTheEnd) {
+  Stage stage;
+  Caller caller(stage.loop, stage.edge->listening());
+  const std::string bytes = write_message(CallerType::kSetup, 7,
+                                          {{Parameter::kClass, "status"},
+                                           {Parameter::kLeft, "1500"},
+                                           {Parameter::kNumber, "7f3a9c21e0b4d655"},
+                                           {Parameter::kFigures, "dest:0;width:1;via:-1"},
+                                           {Parameter::kDescription, "offer"}});
+  stage.edge->drain();
+  stage.loop.after(0.6, [&] { caller.stream->write(bytes.substr(0, 9)); });
+  stage.loop.after(1.2, [&] { caller.stream->write(bytes.substr(9)); });  // the listener is gone by now
+  stage.loop.after(9, [&] { stage.loop.stop(); });
+  stage.loop.run();
+  EXPECT_TRUE(stage.until([&] { return caller.got.size() == 1; }));
+}
+
+// ---- Clients gone ----
+
+// Held for its later try, or out: once its caller has closed, reset or cancelled, no attempt begins.
+TEST(PlatformEdge, AHeldSetupWhoseCallerHasGoneIsNotSentOn) {
+  for (const int way : {0, 1, 2}) {
+    Stage stage;
+    stage.core.reply = {};
+    Caller caller(stage.loop, stage.edge->listening());
+    for (std::uint64_t id = 1; id <= 4; ++id) caller.setup(id);
+    // Two are out; the others are held for their later try.
+    ASSERT_TRUE(stage.until([&] { return stage.core.count("setup") >= 2; }));
+    const std::size_t sent = stage.core.count("setup");
+    if (way == 0) caller.stream->close();
+    if (way == 1) caller.stream->reset();
+    if (way == 2) {
+      for (std::uint64_t id = 1; id <= 4; ++id) caller.stream->write(write_release(id, 16));
+    }
+    ASSERT_TRUE(stage.until([&] { return stage.edge->desk().open() == 0; })) << way;
+    EXPECT_LE(stage.core.count("setup"), sent) << way;
+    EXPECT_TRUE(stage.until([&] { return stage.core.count("release") == sent; })) << "let go " << way;
+    EXPECT_EQ(stage.edge->calls(), 0u);
+  }
+}
+
 }  // namespace
 }  // namespace mintrock::platform
