Soak trials side by side each have a loopback address of their own

Cause: all trials shared the ports of 127.0.0.1, and a listener that had gone (a stopped proxy's, a dead core server's) had its port taken by another trial, whose proxies and callers then met this one's. Change: the address is taken from the process id; PortFinder, core servers, fault lines and discovery listen there.

--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -17,16 +17,21 @@
 namespace mintrock::lab {
 namespace {
 
-sockaddr_in loopback(std::uint16_t port) {
+sockaddr_in socket_address(std::uint32_t ip, std::uint16_t port) {
   sockaddr_in at{};
   at.sin_family = AF_INET;
-  at.sin_addr.s_addr = htonl(0x7F000001);
+  at.sin_addr.s_addr = htonl(ip);
   at.sin_port = htons(port);
   return at;
 }
 
 }  // namespace
 
+std::uint32_t loopback_of_process(pid_t process) {
+  constexpr std::uint32_t kUpperHalf = 0x7F800000;  // of 127.0.0.0/8; process ids have 22 bits at most
+  return kUpperHalf | (static_cast<std::uint32_t>(process) & 0x003FFFFF);
+}
+
 pid_t spawn(const std::vector<std::string>& words) {
   std::vector<char*> argv;
   for (const std::string& each : words) argv.push_back(const_cast<char*>(each.c_str()));
@@ -46,7 +51,7 @@
     const auto port = static_cast<std::uint16_t>(20000 + random_() % 12000);
     if (given_.count(port) != 0) continue;
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in at = loopback(port);
+    const sockaddr_in at = socket_address(ip_, port);
     const int on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
@@ -68,7 +73,7 @@
 void wait_for_port(std::uint16_t port) {
   for (int i = 0; i < 1000; ++i) {
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in at = loopback(port);
+    const sockaddr_in at = socket_address(kLoopback, port);
     const bool there = connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
     close(fd);
     if (there) return;
--- a/src/lab/process.hpp
+++ b/src/lab/process.hpp
@@ -15,13 +15,22 @@
 // Starts a program; throws std::runtime_error if there can be no further process.
 pid_t spawn(const std::vector<std::string>& words);
 
-// Ports of the loopback address that nobody listens on, below those that the system gives to outgoing
+// 127.0.0.1, in host order.
+constexpr std::uint32_t kLoopback = 0x7F000001;
+
+// A loopback address that no other process gets, in host order: trials side by side never meet on a port,
+// though their listeners come and go.
+std::uint32_t loopback_of_process(pid_t process);
+
+// Ports of a loopback address that nobody listens on, below those that the system gives to outgoing
 // connections. None is handed out twice.
 class PortFinder {
  public:
+  explicit PortFinder(std::uint32_t ip = kLoopback) : ip_(ip) {}
   std::uint16_t next();
 
  private:
+  std::uint32_t ip_;
   std::mt19937 random_{std::random_device{}()};
   std::set<std::uint16_t> given_;
 };
--- a/src/lab/soak/core_server.cpp
+++ b/src/lab/soak/core_server.cpp
@@ -30,12 +30,12 @@
 
 }  // namespace
 
-CoreServer::CoreServer(net::Loop& loop, Ledger& ledger, std::string name, std::size_t edges,
+CoreServer::CoreServer(net::Loop& loop, std::uint32_t ip, Ledger& ledger, std::string name, std::size_t edges,
                        const CoreBehaviour& behaviour, std::uint64_t seed)
     : loop_(loop), ledger_(ledger), name_(std::move(name)), behaviour_(behaviour), random_(seed) {
   for (std::size_t edge = 0; edge < edges; ++edge) {
     listeners_.push_back(std::make_unique<net::Listener>(
-        loop, net::Address{}, [this, edge](int fd, net::Address from) { accept(edge, fd, from); }));
+        loop, net::Address{ip, 0}, [this, edge](int fd, net::Address from) { accept(edge, fd, from); }));
     lines_.push_back(std::make_unique<FaultLine>(loop, listeners_.back()->local()));
   }
   later(kStateEvery, [this] { say_states(); });
--- a/src/lab/soak/core_server.hpp
+++ b/src/lab/soak/core_server.hpp
@@ -33,7 +33,8 @@
 
 class CoreServer {
  public:
-  CoreServer(net::Loop& loop, Ledger& ledger, std::string name, std::size_t edges,
+  // Listens on free ports of this loopback address.
+  CoreServer(net::Loop& loop, std::uint32_t ip, Ledger& ledger, std::string name, std::size_t edges,
              const CoreBehaviour& behaviour, std::uint64_t seed);
   ~CoreServer();
 
--- a/src/lab/soak/discovery.cpp
+++ b/src/lab/soak/discovery.cpp
@@ -29,7 +29,7 @@
 
 }  // namespace
 
-Discovery::Discovery(net::Loop& loop) : loop_(loop) {
+Discovery::Discovery(net::Loop& loop, std::uint32_t ip) : loop_(loop), address_{ip, 0} {
   listen();
   comment();
 }
@@ -104,7 +104,7 @@
     loop_.after(kOldAddressCloses, [stream = watcher.stream] { stream->close(); });
   }
   listener_.reset();
-  address_ = {};
+  address_.port = 0;
   listen();
 }
 
--- a/src/lab/soak/discovery.hpp
+++ b/src/lab/soak/discovery.hpp
@@ -23,7 +23,8 @@
 
 class Discovery {
  public:
-  explicit Discovery(net::Loop& loop);
+  // Listens on free ports of this loopback address.
+  Discovery(net::Loop& loop, std::uint32_t ip);
   ~Discovery();
 
   // The edge proxy starts: the list now, as its configuration keeps it under `known`.
--- a/src/lab/soak/fault_line.cpp
+++ b/src/lab/soak/fault_line.cpp
@@ -15,7 +15,8 @@
 
 }  // namespace
 
-FaultLine::FaultLine(net::Loop& loop, const net::Address& target) : loop_(loop), target_(target) {
+FaultLine::FaultLine(net::Loop& loop, const net::Address& target)
+    : loop_(loop), target_(target), address_{target.ip, 0} {
   listen();
   address_ = listener_->local();
 }
--- a/src/lab/soak/fault_line.hpp
+++ b/src/lab/soak/fault_line.hpp
@@ -14,7 +14,7 @@
 
 class FaultLine {
  public:
-  // Listens on a free port of its own, which it keeps for its life.
+  // Listens on a free port of its own at the target's address, and keeps it for its life.
   FaultLine(net::Loop& loop, const net::Address& target);
   ~FaultLine();
   FaultLine(const FaultLine&) = delete;
--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cstdio>
@@ -74,7 +75,8 @@
 
   Options options_;
   net::Loop loop_;
-  PortFinder ports_;
+  std::uint32_t ip_ = loopback_of_process(getpid());
+  PortFinder ports_{ip_};
   std::mt19937_64 random_;
   std::ofstream trace_;
   Ledger ledger_;
@@ -101,9 +103,9 @@
   for (std::size_t i = 0; i < options_.edges; ++i) {
     Edge edge;
     edge.name = "n" + std::to_string(i);
-    edge.listen.port = ports_.next();
+    edge.listen = {ip_, ports_.next()};
     edge.process = std::make_unique<EdgeProcess>(options_.edge_program, options_.dir, edge.name);
-    edge.discovery = std::make_unique<Discovery>(loop_);
+    edge.discovery = std::make_unique<Discovery>(loop_, ip_);
     edge.callers =
         std::make_unique<Callers>(loop_, ledger_, i, edge.listen, classes_, options_.habits, random_());
     edges_.push_back(std::move(edge));
@@ -162,7 +164,7 @@
   char id[16];
   std::snprintf(id, sizeof id, "s-%08x", static_cast<unsigned>(random_()));
   server->process =
-      std::make_unique<CoreServer>(loop_, ledger_, id, options_.edges, options_.behaviour, random_());
+      std::make_unique<CoreServer>(loop_, ip_, ledger_, id, options_.edges, options_.behaviour, random_());
   if (late) server->born_ms = static_cast<std::int64_t>(net::wall_now() * 1000);
   servers_.push_back(std::move(server));
 }
