soak: a start that fails is one clear error, ends the run, and breaks no rule

Cause: the child left before the program ran, since its log could not be opened, and each look took that for a crash and started it again; write errors of the trial's files were not looked at.

Soak.AStartThatFailsIsOneErrorAndBreaksNoRule does not build without StartError; the program before reported crashes, as above.

--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -5,7 +5,10 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdio>
+#include <cstring>
+#include <exception>
 #include <fstream>
 #include <functional>
 #include <memory>
@@ -62,6 +65,9 @@
   void add_server(bool late);
   void tell(const Server& server);
   void start_edge(std::size_t edge);
+  void replace_ended();
+  // Does what may throw StartError from within the loop; such an error ends the trial.
+  void guarded(const std::function<void()>& what);
   void look();
   void trouble();
   void shut_down(std::size_t edge);
@@ -87,6 +93,7 @@
   double begun_ = 0;
   double discovery_well_from_ = 0;
   Report report_;
+  std::exception_ptr start_error_;
 };
 
 Trial::Trial(const Options& options)
@@ -94,6 +101,7 @@
       random_(options.seed),
       trace_(options.dir + "/calls.trace"),
       ledger_(options.limits, &trace_) {
+  if (!trace_) throw StartError(options.dir + "/calls.trace: " + std::strerror(errno));
   const std::size_t count = 1 + pick(3);
   for (std::size_t i = 0; i < count; ++i) {
     classes_.push_back({"class-" + std::to_string(pick(1000)) + "-" + std::to_string(i), draw(0.5, 3.0)});
@@ -230,26 +238,42 @@
   edge.discovery->move();
   discovery_well_from_ = loop_.now() + kToldLate;
   const std::string text = config(edge, {{"offset", 0}, {"batch", json::array()}}).dump();
-  edge.process->write_config(text.substr(0, text.size() / 2));
+  guarded([&] { edge.process->write_config(text.substr(0, text.size() / 2)); });
   edge.process->signal(SIGHUP);
-  later(0.03, [this, i, text] { edges_[i].process->write_config(text); });
+  later(0.03, [this, i, text] { guarded([&] { edges_[i].process->write_config(text); }); });
   later(draw(0.1, 0.6), [this, i, times] { reload(i, times - 1); });
 }
 
-// Processes that have ended are started again at once.
+void Trial::guarded(const std::function<void()>& what) {
+  try {
+    what();
+  } catch (const StartError&) {
+    start_error_ = std::current_exception();
+    loop_.stop();
+  }
+}
+
 void Trial::look() {
+  guarded([this] { replace_ended(); });
+  ledger_.judge(loop_.now());
+  later(kLook, [this] { look(); });
+}
+
+// Processes that have ended are started again at once.
+void Trial::replace_ended() {
   for (std::size_t i = 0; i < edges_.size(); ++i) {
     Edge& edge = edges_[i];
     const auto status = edge.process->ended();
     if (!status) continue;
     note(edge.name + " ended");
+    if (!edge.ending && !edge.callers->ready()) {
+      throw StartError(edge.name + " ended before it was ready: " + edge.process->last_words());
+    }
     if (!edge.ending)
       report_.violations.push_back({Rule::kLost, loop_.now() - begun_, 0, edge.name + " crashed"});
     if (edge.planned) edge.callers->edge_stopped(true);
     start_edge(i);
   }
-  ledger_.judge(loop_.now());
-  later(kLook, [this] { look(); });
 }
 
 // ---- Troubles ----
@@ -376,6 +400,7 @@
   };
   later(options_.seconds, wait);
   loop_.run();
+  if (start_error_) std::rethrow_exception(start_error_);
   ledger_.judge(loop_.now());
   for (Violation each : ledger_.violations()) {
     each.at -= begun_;
--- a/src/lab/soak/soak.hpp
+++ b/src/lab/soak/soak.hpp
@@ -48,6 +48,7 @@
   bool good() const { return violations.empty() && settled; }
 };
 
+// Throws StartError where a proxy or the trial's files can't be started or written.
 Report run(const Options& options);
 
 }  // namespace mintrock::lab::soak
--- a/tests/lab/soak/soak_test.cpp
+++ b/tests/lab/soak/soak_test.cpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "lab/process.hpp"
+#include "lab/soak/edge_process.hpp"
 
 namespace mintrock::lab::soak {
 namespace {
@@ -33,9 +34,32 @@
     if (!HasFailure()) return;
     for (const std::string& each : report.timeline) std::printf("%s\n", each.c_str());
   }
+  // The error that ends the trial; empty if it was played.
+  std::string start_error() {
+    try {
+      run(options_);
+    } catch (const StartError& error) {
+      return error.what();
+    }
+    return "";
+  }
   Options options_;
 };
 
+// A trial that can't be begun was reported as hundreds of crashes.
+TEST_F(Soak, AStartThatFailsIsOneErrorAndBreaksNoRule) {
+  const std::string folder = options_.dir;
+  const std::string program = options_.edge_program;
+  options_.dir = folder + "/missing";
+  EXPECT_EQ(start_error(), options_.dir + "/calls.trace: No such file or directory");
+  options_.dir = folder;
+  options_.edge_program = folder + "/missing";
+  EXPECT_EQ(start_error(), options_.edge_program + ": No such file or directory");
+  options_.edge_program = "/bin/false";
+  EXPECT_NE(start_error().find(" ended before it was ready"), std::string::npos);
+  options_.edge_program = program;
+}
+
 // Incident e99bd3: a core server's release, "the call has come to its end", overtakes the call's answer, or
 // the answer never comes.
 TEST_F(Soak, ACallThatEndsBeforeItsAnswerComesIsToldToItsCaller) {
