Soak trace: the script's steps, and each release that reached the edge proxy's side

What a server wrote and what the network passed could not be told apart, nor set against the script: calls.trace now has both, on the ledger's clock. Verdicts are as before.

--- a/src/lab/soak/core_server.cpp
+++ b/src/lab/soak/core_server.cpp
@@ -37,6 +37,7 @@
     listeners_.push_back(std::make_unique<net::Listener>(
         loop, net::Address{ip, 0}, [this, edge](int fd, net::Address from) { accept(edge, fd, from); }));
     lines_.push_back(std::make_unique<FaultLine>(loop, listeners_.back()->local()));
+    lines_.back()->on_line_passed([this](std::string_view line) { line_passed(line); });
   }
   later(kStateEvery, [this] { say_states(); });
 }
@@ -138,6 +139,13 @@
   give_up_open(connection);
 }
 
+void CoreServer::line_passed(std::string_view line) {
+  const char* fault = nullptr;
+  const auto message = platform::read_core_message(line, fault);
+  if (!message || message->type != platform::CoreMessage::Type::kRelease) return;
+  ledger_.release_passed(message->id, name_, loop_.now());
+}
+
 // Closing a connection gives up the set-ups open on it.
 void CoreServer::give_up_open(std::size_t connection) {
   for (auto it = calls_.begin(); it != calls_.end();) {
--- a/src/lab/soak/core_server.hpp
+++ b/src/lab/soak/core_server.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -74,6 +75,7 @@
   void answer_late(const CallKey& key, std::uint64_t serial);
   void refuse(const CallKey& key, std::uint64_t serial, int cause, const char* note);
   void connection_lost(std::size_t connection);
+  void line_passed(std::string_view line);
   void give_up_open(std::size_t connection);
   void end_call(const CallKey& key, int cause);
   Call* find(const CallKey& key, std::uint64_t serial);
--- a/src/lab/soak/fault_line.cpp
+++ b/src/lab/soak/fault_line.cpp
@@ -73,7 +73,16 @@
   if (found == pairs_.end()) return;
   Pair& pair = found->second;
   if (pair.far != nullptr && !pair.to_far.empty()) pair.far->write(std::exchange(pair.to_far, {}));
-  if (!pair.to_near.empty()) pair.near->write(std::exchange(pair.to_near, {}));
+  if (!pair.to_near.empty()) pass_to_near(pair);
+}
+
+void FaultLine::pass_to_near(Pair& pair) {
+  const std::string bytes = std::exchange(pair.to_near, {});
+  if (!pair.near->is_open()) return;
+  pair.near->write(bytes);
+  if (!line_observer_) return;
+  pair.passed.feed(bytes);
+  while (const auto line = pair.passed.next()) line_observer_(*line);
 }
 
 void FaultLine::end(std::size_t id, bool hard) {
--- a/src/lab/soak/fault_line.hpp
+++ b/src/lab/soak/fault_line.hpp
@@ -3,12 +3,15 @@
 #ifndef MINTROCK_SRC_LAB_SOAK_FAULT_LINE_HPP_
 #define MINTROCK_SRC_LAB_SOAK_FAULT_LINE_HPP_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "net/loop.hpp"
+#include "platform/core_codec.hpp"
 
 namespace mintrock::lab::soak {
 
@@ -22,6 +25,11 @@
 
   const net::Address& address() const { return address_; }
 
+  // Told each line once it has been handed to the system towards the side that connected.
+  void on_line_passed(std::function<void(std::string_view line)> observer) {
+    line_observer_ = std::move(observer);
+  }
+
   // New connections reach the target this many seconds late.
   void open_late(double seconds) { open_late_s_ = seconds; }
   // The next so many connections are closed as soon as they are taken.
@@ -44,11 +52,13 @@
     std::shared_ptr<net::Stream> far;  // null until it is opened
     std::string to_near;               // held while silent
     std::string to_far;                // held while silent, or until the far side is opened
+    platform::LineCutter passed;       // of what went to the near side
   };
   void listen();
   void accept(int fd, net::Address from);
   void open_far(std::size_t id);
   void pass(std::size_t id);
+  void pass_to_near(Pair& pair);
   void end(std::size_t id, bool hard);
 
   net::Loop& loop_;
@@ -57,6 +67,7 @@
   std::unique_ptr<net::Listener> listener_;
   std::map<std::size_t, Pair> pairs_;
   std::size_t last_ = 0;
+  std::function<void(std::string_view line)> line_observer_;
   double open_late_s_ = 0;
   std::size_t close_early_ = 0;
   bool silent_ = false;
--- a/src/lab/soak/ledger.cpp
+++ b/src/lab/soak/ledger.cpp
@@ -161,6 +161,10 @@
   found->second.due = now + (released ? limits_.told_after_release : limits_.told_after_end) + limits_.slack;
 }
 
+void Ledger::release_passed(std::uint64_t call, const std::string& server, double now) {
+  record(now, call, "release passed", server);
+}
+
 void Ledger::let_go(std::uint64_t call, const std::string& server, double now) {
   record(now, call, "let go", server);
   attempt_over(call, server, now);
--- a/src/lab/soak/ledger.hpp
+++ b/src/lab/soak/ledger.hpp
@@ -73,9 +73,14 @@
   void stands(std::uint64_t call, const std::string& server, const std::string& description, double now);
   // It is over there: `released` if the server sent that to the edge proxy.
   void over(std::uint64_t call, const std::string& server, bool released, double now);
+  // A release of this call has reached the edge proxy's side of the network.
+  void release_passed(std::uint64_t call, const std::string& server, double now);
   // The edge proxy let it go, or cut it.
   void let_go(std::uint64_t call, const std::string& server, double now);
 
+  // A step of the trial's script, for the trace.
+  void note(const std::string& step, double now) { record(now, 0, "script:", step); }
+
   // Judges what is still owed. Called now and then; all that is due by `now` is found.
   void judge(double now);
   const std::vector<Violation>& violations() const { return violations_; }
--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -124,6 +124,7 @@
   char time[32];
   std::snprintf(time, sizeof time, "%.3f ", loop_.now() - begun_);
   report_.timeline.push_back(time + what);
+  ledger_.note(what, loop_.now());
 }
 
 // ---- Settings and list ----
