A restarted proxy takes no connection for proof of lost ends before it heard the server

Ruled out: the ends were heard and not passed on (no core_message of them in the log); the callers did not name the calls (handed over at 183.31). Change: a connection that was begun before the server was first heard settles nothing, nor one begun while the server was silent on a connection that this side closed (the same fault elsewhere: close_retired). It costs one connection a server and restart, only where calls of the former life stand. CoreLinks.OnlyAConnectionThatIsBegunAfterTheLoss... now speaks on another connection all the while: it passed without the bound of 0.2 s, since quiet asked for the connection; now it fails without it (seen).

--- a/src/platform/core_links.cpp
+++ b/src/platform/core_links.cpp
@@ -333,6 +333,7 @@
       return;
     }
     spoke_ = now;
+    repeats_.heard();
     if (!std::exchange(found->second.spoke, true)) {
       repeats_.first_line(from, found->second.up_since, now);
     }
@@ -486,7 +487,7 @@
     ports_.core_connection(server_, which, ConnectionChange::kRetiredClosed);
     ports_.close_core(which);
     connections_.erase(which);
-    repeats_.doubt();
+    repeats_.doubt_until_heard();
   }
 }
 
--- a/src/platform/core_links.hpp
+++ b/src/platform/core_links.hpp
@@ -103,7 +103,10 @@
   // Frees what the server holds of the call: a set-up is given up, a call that stands is cut.
   void give_up(std::uint64_t id, double now);
   // It stands there already: known from its caller.
-  void take_over(std::uint64_t id) { standing_.insert(id); }
+  void take_over(std::uint64_t id) {
+    standing_.insert(id);
+    repeats_.former_life_had_calls();
+  }
 
   // ---- From the list ----
   // Ready: connections are kept up. Otherwise nothing that waits may go out any more.
--- a/tests/platform/core_links_test.cpp
+++ b/tests/platform/core_links_test.cpp
@@ -58,6 +58,17 @@
   void answer(ConnectionId on, std::uint64_t id, double now) {
     say(on, "answer", id, ",\"sdp\":\"v=0\"", now);
   }
+  void speak(ConnectionId on, double now) { say(on, "state", 0, "", now); }
+  // The server speaks on this connection every tenth of a second and closes what is retired, until `done`: when
+  // that was.
+  double speak_until(ConnectionId on, double now, double end, const std::function<bool()>& done) {
+    for (; now < end && !done(); now += 0.1) {
+      speak(on, now);
+      links.tick(now);
+      for (const ConnectionId each : std::exchange(retired, {})) links.down(each, false, now);
+    }
+    return now;
+  }
   // Call 1 stands here, as 11, while nothing else is out.
   void stand() {
     all_up(0);
@@ -378,34 +389,63 @@
 }
 
 // Connections that came up before the loss, or that the server speaks on only later, were opened before ends
-// that may have been lost; the repeat comes on one that is opened after them.
+// that may have been lost; the repeat comes on one that is opened after them. The server speaks all the while
+// on another connection: nothing but the doubt asks for a new one.
 TEST(CoreLinks, OnlyAConnectionThatIsBegunAfterTheLossAndSpeaksAtOnceBringsLostEnds) {
   World w;
   w.stand();
-  w.say(1, "state", 0, "", 0.1);
-  w.say(2, "state", 0, "", 0.1);
+  w.speak(1, 0.1);
+  w.speak(2, 0.1);
   for (std::uint64_t id = 12; id <= 14; ++id) w.set_up(static_cast<CallId>(id), 0, id, 0.2);
   const ConnectionId before = w.last;
   w.links.down(w.where(11), false, 0.3);
   w.links.up(before, 0.35);
-  w.say(before, "state", 0, "", 0.36);
-  double now = w.run(0.36, 3, w.silence, [&] { return w.last > before; });
-  EXPECT_LT(now, 2) << "one begun before the loss proves nothing";
+  w.speak(before, 0.36);
+  double now = w.speak_until(before, 0.36, 2.36, [&] { return w.last > before; });
+  ASSERT_GT(w.last, before) << "one begun before the loss proves nothing";
   const ConnectionId late = w.last;
   w.links.up(late, now);
-  w.say(late, "state", 0, "", now + 0.8);
-  now = w.run(now + 0.8, now + 3, w.silence, [&] { return w.last > late; });
+  now = w.speak_until(before, now, now + 0.8, [] { return false; });
+  w.speak(late, now);
+  now = w.speak_until(before, now, now + 2, [&] { return w.last > late; });
   ASSERT_GT(w.last, late) << "nor does one that is spoken on late";
   const ConnectionId prompt = w.last;
   w.links.up(prompt, now);
-  w.say(prompt, "state", 0, "", now + 0.05);
-  for (const double end = now + 5; now < end; now += 0.1) {
-    w.say(prompt, "state", 0, "", now);
-    w.links.tick(now);
-  }
+  w.speak(prompt, now + 0.05);
+  w.speak_until(prompt, now + 0.05, now + 5, [] { return false; });
   EXPECT_EQ(w.last, prompt) << "then it is settled";
 }
 
+// Soak seed 164: an edge proxy restarted just before the end of a silence took the connections that it had
+// opened in it for proof that lost ends had come. The server learns of its former life's end only then.
+TEST(CoreLinks, AfterARestartOnlyAConnectionThatIsBegunOnceTheServerWasHeardBringsLostEnds) {
+  World w;
+  w.all_up(0);
+  w.links.take_over(11);
+  constexpr double heard = 0.15;  // promptly on each
+  w.links.tick(0.1);
+  for (const ConnectionId each : std::exchange(w.begun, {})) w.links.up(each, 0.1);
+  const ConnectionId before = w.last;
+  for (ConnectionId each = 1; each <= before; ++each) w.speak(each, heard);
+  const double now = w.speak_until(1, heard, heard + 2, [&] { return w.last > before; });
+  ASSERT_GT(w.last, before) << "none begun before the first word proves anything";
+  const ConnectionId after = w.last;
+  w.links.up(after, now);
+  w.say(after, "release", 11, ",\"cause\":16", now);
+  EXPECT_EQ(w.events, std::vector<std::string>{"over 11"});
+  w.links.take_over(12);
+  w.speak_until(after, now, now + 5, [] { return false; });
+  EXPECT_EQ(w.last, after) << "then it is settled";
+}
+
+TEST(CoreLinks, AProxyWithoutCallsOfAFormerLifeNeedsNoFurtherConnection) {
+  World w;
+  w.stand();
+  const ConnectionId first = w.last;
+  w.speak_until(1, 0.15, 5, [] { return false; });
+  EXPECT_EQ(w.last, first);
+}
+
 // The list or the address has given it up, and its connections stay open and silent: nothing else will tell.
 TEST(CoreLinks, SilentConnectionsOfAServerThatLeftEndItsCallsInTime) {
   for (const bool moved : {false, true}) {
