A call that may have stood unseen at a process that died has failed, and is not set up again

Cause: drop() and dead() ended what was out as Outcome::kReset, whatever became of the server; where the process is known to be gone, a call that stood there unseen is over, and no release can be asked for. Change: CoreLinks keeps the attempts that are over here though the server may hold what came of them (lost with a connection, given up), until the server says that it holds nothing; once its process is gone they are told as over, and a call that waits for a further attempt fails at once. The Controller still hears of the reset, as evidence against the server. A call that stands elsewhere by then is left standing.

Measured: CoreLinks.WhatMayHaveStoodUnseenIsOverWithItsProcess and PlatformEdge.ACallWhoseServerDiesBeforeItsAnswerComesHasFailed fail with the telling taken out (on this code; the function is new) and pass with it.

--- a/src/edge/call_desk.cpp
+++ b/src/edge/call_desk.cpp
@@ -6,7 +6,7 @@
 namespace mintrock::edge {
 namespace {
 
-constexpr const char* kRanUnseen = "it ran and has ended, and its answer was not seen";
+constexpr const char* kRanUnseen = "it ran, or may have, and that has ended, and its answer was not seen";
 
 }  // namespace
 
--- a/src/edge/call_desk.hpp
+++ b/src/edge/call_desk.hpp
@@ -96,8 +96,8 @@
   void ended(CallId call, std::uint32_t attempt, Outcome outcome, Cause cause, double told_wait_s,
              const Report& report, double now);
 
-  // An earlier attempt, given up for lost, has run and its call has ended: the call is over, whatever is out
-  // for it now. Nothing happens to one that stands.
+  // An earlier attempt, given up for lost, has run, or may have, and what came of it has ended: the call is
+  // over, whatever is out for it now. Nothing happens to one that stands.
   void ran_elsewhere(CallId call, double now);
 
   // The same of a call that stands, whatever the number of the attempt that it became.
--- a/src/platform/core_links.cpp
+++ b/src/platform/core_links.cpp
@@ -25,6 +25,8 @@
 // A release that was written on a connection shortly before its loss may not have arrived: it is sent again.
 constexpr double kReleaseInDoubt = 1.0;  // s
 constexpr std::size_t kMostReleased = 256;
+constexpr double kUnsettled = 10.0;  // s; longer than any caller waits
+constexpr std::size_t kMostUnsettled = 256;
 constexpr double kNever = std::numeric_limits<double>::infinity();
 
 }  // namespace
@@ -114,6 +116,7 @@
   }
   const ConnectionId on = found->second.on;
   const bool written = found->second.written;
+  if (written) note_unsettled(found->second.who, id, now);
   out_.erase(found);
   // Its connection may be gone already: the end of one set-up on it can make the desk give up the next.
   const auto connection = connections_.find(on);
@@ -247,6 +250,10 @@
   const auto found = connections_.find(which);
   const Connection gone = std::move(found->second);
   connections_.erase(found);
+  for (const std::uint64_t id : gone.open) {
+    const auto out = out_.find(id);
+    if (out != out_.end()) note_unsettled(out->second.who, id, now);
+  }
   if (!gone.retired) repeats_.doubt();  // else the server had heard of its end, and has said its last
   // Nobody takes connections there, and none is open: what stood was cut with the process. While one is open
   // it may be a draining server that finishes its calls, unless it has been quiet for too long.
@@ -305,12 +312,32 @@
   for (const auto& [id, connection] : std::exchange(connections_, {})) {
     ports_.core_connection(server_, id, ConnectionChange::kServerGone);
     ports_.close_core(id);
-    for (const std::uint64_t setup : connection.open) end(setup, Outcome::kReset, now);
+    for (const std::uint64_t setup : connection.open) {
+      const auto out = out_.find(setup);
+      if (out != out_.end()) note_unsettled(out->second.who, setup, now);
+      end(setup, Outcome::kReset, now);
+    }
     for (const std::uint64_t setup : connection.waiting) end(setup, Outcome::kConnectFailed, now);
   }
   owed_.clear();
   silent_since_ = -1;
   for (const std::uint64_t id : std::exchange(standing_, {})) ports_.core_over(server_, id, true, {});
+  // A call that stood there unseen has ended with the process: it is not to be set up again.
+  for (const Unsettled& each : std::exchange(unsettled_, {})) {
+    if (now < each.until) ports_.core_run_over(each.who);
+  }
+}
+
+void CoreLinks::note_unsettled(const Attempt& who, std::uint64_t id, double now) {
+  if (unsettled_.size() >= kMostUnsettled) unsettled_.pop_front();
+  unsettled_.push_back({who, id, now + kUnsettled});
+}
+
+// The server has said that it holds nothing of the call's earlier attempts.
+void CoreLinks::settle_attempts(std::uint64_t id) {
+  unsettled_.erase(std::remove_if(unsettled_.begin(), unsettled_.end(),
+                                  [id](const Unsettled& each) { return each.id == id; }),
+                   unsettled_.end());
 }
 
 void CoreLinks::spoilt(ConnectionId which, const char* what, double now) {
@@ -361,6 +388,7 @@
     case Type::kTestResult:
       return;
     case Type::kReleased: {
+      settle_attempts(message.id);
       std::deque<Released>& released = connections_.at(from).released;
       const auto heard = std::find_if(released.begin(), released.end(),
                                       [&](const Released& each) { return each.id == message.id; });
@@ -412,6 +440,7 @@
     if (ending.outcome == Outcome::kReset) release(message.id, from, now);
     return ports_.core_ended(who, ending.outcome, ending.cause, message.waited_s, message.report);
   }
+  settle_attempts(message.id);
   connection.given_up.erase(message.id);
   const bool ended = message.cause == kCauseNormal;
   // Of an earlier attempt of a call that is out here again: only its end is news.
--- a/src/platform/core_links.hpp
+++ b/src/platform/core_links.hpp
@@ -68,7 +68,9 @@
   virtual void core_over(ServerId server, std::uint64_t id, bool cut, const Report& report) = 0;
   virtual void core_load(ServerId server, const Report& report) = 0;
   virtual void core_fault(ServerId server, const char* what) = 0;  // for the log
-  // Likewise: it is taken for gone, with this many calls that stood.
+  // The server's process is gone; this attempt may have run there unseen, and that run is over now.
+  virtual void core_run_over(const Attempt& who) = 0;
+  // For the log: it is taken for gone, with this many calls that stood.
   virtual void core_gone(ServerId server, const char* why, std::size_t standing) = 0;
   // Likewise: the state of one connection has changed.
   virtual void core_connection(ServerId server, ConnectionId which, ConnectionChange change) = 0;
@@ -153,6 +155,12 @@
     bool written = false;
     std::string line;
   };
+  // An attempt that is over here, though the server may hold what came of it.
+  struct Unsettled {
+    Attempt who;
+    std::uint64_t id = 0;
+    double until = 0;
+  };
   struct Owed {
     std::uint64_t id = 0;
     double until = 0;
@@ -180,6 +188,8 @@
   double settles_by(const Connection& connection) const;
   void end(std::uint64_t id, Outcome outcome, double now);
   void dead(const char* why, double now);
+  void note_unsettled(const Attempt& who, std::uint64_t id, double now);
+  void settle_attempts(std::uint64_t id);
   void note_serves(double now);
   double probe_at() const;
   double silence_ends_at() const;
@@ -195,6 +205,7 @@
   std::map<ConnectionId, Connection> connections_;
   std::unordered_map<std::uint64_t, Out> out_;
   std::unordered_set<std::uint64_t> standing_;
+  std::deque<Unsettled> unsettled_;
   std::deque<Owed> owed_;  // releases that no connection could carry yet
   double heard_ = 0;       // when anything came from it
   double spoke_ = 0;       // when a line last came; a connection may come up though nobody serves it
--- a/src/platform/end_repeats.hpp
+++ b/src/platform/end_repeats.hpp
@@ -7,8 +7,8 @@
 // heard, and ends may have been sent after it; another one is needed.
 //
 // A server may not know of a connection's end: of those of the process that ran here before, or of one closed
-// here while it was silent. Until it has been heard again it may write ends to such a connection, and only one
-// begun after that settles them.
+// here while it was silent. Until it has been heard again it may write ends to such a connection, and only
+// one begun after that settles them.
 //
 // Pure: the owner tells of its connections, whose numbers grow.
 #ifndef MINTROCK_SRC_PLATFORM_END_REPEATS_HPP_
--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -473,6 +473,8 @@
   log_event(warn, "core_fault", {{"peer", identity(server)}, {"detail", what}});
 }
 
+void PlatformEdge::core_run_over(const Attempt& who) { desk_.ran_elsewhere(who.call, loop_.now()); }
+
 void PlatformEdge::core_gone(ServerId server, const char* why, std::size_t standing) {
   log_event(warn, "core_gone",
             {{"peer", identity(server)}, {"detail", why}, {"standing", std::to_string(standing)}});
--- a/src/platform/platform_edge.hpp
+++ b/src/platform/platform_edge.hpp
@@ -99,6 +99,7 @@
   void core_over(ServerId server, std::uint64_t id, bool cut, const Report& report) override;
   void core_load(ServerId server, const Report& report) override;
   void core_fault(ServerId server, const char* what) override;
+  void core_run_over(const Attempt& who) override;
   void core_gone(ServerId server, const char* why, std::size_t standing) override;
   void core_connection(ServerId server, ConnectionId which, ConnectionChange change) override;
   void core_message(ServerId server, ConnectionId from, const CoreMessage& message,
--- a/tests/platform/core_links_test.cpp
+++ b/tests/platform/core_links_test.cpp
@@ -42,6 +42,9 @@
   }
   void core_load(ServerId, const Report& report) override { loads.push_back(report); }
   void core_fault(ServerId, const char* what) override { faults.push_back(what); }
+  void core_run_over(const Attempt& who) override {
+    events.push_back("run over " + std::to_string(who.call));
+  }
   void core_gone(ServerId, const char*, std::size_t) override {}
   void core_connection(ServerId, ConnectionId, ConnectionChange) override {}
   void core_message(ServerId, ConnectionId, const CoreMessage&, MessageOwner) override {}
@@ -59,8 +62,8 @@
     say(on, "answer", id, ",\"sdp\":\"v=0\"", now);
   }
   void speak(ConnectionId on, double now) { say(on, "state", 0, "", now); }
-  // The server speaks on this connection every tenth of a second and closes what is retired, until `done`: when
-  // that was.
+  // The server speaks on this connection every tenth of a second and closes what is retired, until `done`:
+  // when that was.
   double speak_until(ConnectionId on, double now, double end, const std::function<bool()>& done) {
     for (; now < end && !done(); now += 0.1) {
       speak(on, now);
@@ -311,6 +314,27 @@
 // Sockets, disco, seed 11: a process went, its address refused connections, and one old connection stayed
 // open and quiet. Its 60 calls were held to stand, for good. Churn, seed 21: cut at the first refusal, 152
 // calls were released that still stood at servers that drained.
+// Trials with five proxies: a process died with an answer pending, its set-up was a reset and was made again
+// elsewhere, and nobody was told of the end of the run that nobody saw.
+TEST(CoreLinks, WhatMayHaveStoodUnseenIsOverWithItsProcess) {
+  World w;
+  w.stand();
+  for (CallId call = 2; call <= 5; ++call) w.set_up(call, 0, 10 + call, 0.2);
+  w.all_up(0.2);
+  w.links.give_up(13, 0.25);
+  w.links.give_up(14, 0.25);
+  w.say(w.where(14), "released", 14, "", 0.26);
+  w.links.down(w.where(12), false, 0.3);
+  EXPECT_EQ(w.events, std::vector<std::string>{World::ended(2, 0, Outcome::kReset)})
+      << "it may be there still";
+  w.events.clear();
+  for (ConnectionId each = 1; each <= 5; ++each) w.links.down(each, false, 0.31);
+  w.run(0.31, 2, w.refused, [&] { return !w.links.standing(); });
+  const std::vector<std::string> over = {World::ended(5, 0, Outcome::kReset), "cut 11", "run over 3",
+                                         "run over 2", "run over 5"};
+  EXPECT_EQ(w.events, over) << "14 was heard to be released";
+}
+
 TEST(CoreLinks, ARefusalBesideAQuietConnectionCountsOnlyAfterAWhile) {
   World w;
   w.stand();
--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -11,6 +11,7 @@
 #include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 
 #include "instance/hearsay.hpp"
@@ -23,7 +24,7 @@
 // A core server that answers each set-up by `reply`, and keeps what it was sent.
 struct Core {
   explicit Core(net::Loop& loop)
-      : listener(loop, net::Address{}, [this, &loop](int fd, net::Address from) {
+      : listener(std::in_place, loop, net::Address{}, [this, &loop](int fd, net::Address from) {
           const auto stream = net::Stream::adopt(loop, fd, from, 1 << 20);
           streams.push_back(stream);
           cutters.emplace_back();
@@ -47,6 +48,13 @@
   void answer(std::size_t place, const std::string& id) {
     say(place, R"({"type":"answer","id":")" + id + R"(","fields":{},"sdp":"answer )" + id + "\"}");
   }
+  void die() {
+    listener.reset();
+    for (const auto& stream : streams) {
+      if (stream) stream->reset();
+    }
+    streams.clear();
+  }
   std::size_t count(const char* type) const {
     std::size_t out = 0;
     for (const json& each : got) out += each["type"] == type;
@@ -57,7 +65,7 @@
   std::vector<json> got;
   std::function<void(std::size_t, const std::string&)> reply =
       [this](std::size_t place, const std::string& id) { answer(place, id); };
-  net::Listener listener;
+  std::optional<net::Listener> listener;
 };
 
 struct Bus {
@@ -134,7 +142,7 @@
 struct Stage {
   explicit Stage(std::uint32_t sockets = 256, const std::function<void(json&, Stage&)>& adjust = {})
       : core(loop), second(loop), bus(loop), new_bus(loop) {
-    const json host{{"host", "s-1"},  {"dial", core.listener.local().str()},
+    const json host{{"host", "s-1"},  {"dial", core.listener->local().str()},
                     {"site", "east"}, {"class", "small"},
                     {"block", 0},     {"health", "SERVING"},
                     {"share", 1},     {"born_ms", 0}};
@@ -262,6 +270,17 @@
   EXPECT_EQ(stage.edge->calls(), 0u);
 }
 
+// A process dies with the answer of a set-up pending: the call may have stood there, and is over then.
+TEST(PlatformEdge, ACallWhoseServerDiesBeforeItsAnswerComesHasFailed) {
+  Stage stage;
+  stage.core.reply = [&](std::size_t, const std::string&) { stage.loop.defer([&] { stage.core.die(); }); };
+  Caller caller(stage.loop, stage.edge->listening());
+  caller.setup(7, "status", "2900");
+  ASSERT_TRUE(stage.until([&] { return !caller.got.empty(); }, 1));
+  EXPECT_EQ(caller.got[0].cause, kCauseTemporaryFailure);
+  EXPECT_EQ(stage.edge->calls(), 0u);
+}
+
 TEST(PlatformEdge, ASpoiltAnswerIsNotPassedOnAndTheCallIsSetUpAgain) {
   Stage stage;
   int tries = 0;
@@ -329,7 +348,7 @@
   EXPECT_NE(stage.bus.requests[0].find("GET /bus/read "), std::string::npos);
   EXPECT_NE(stage.bus.requests[0].find("Last-Event-ID: 1\r\n"), std::string::npos);
   const json added{{"host", "s-2"},
-                   {"dial", stage.second.listener.local().str()},
+                   {"dial", stage.second.listener->local().str()},
                    {"class", "small"},
                    {"block", 1},
                    {"health", "SERVING"}};
@@ -538,7 +557,7 @@
 
 json serving(const std::string& host, const Core& core, int block = 0) {
   return {{"host", host},
-          {"dial", core.listener.local().str()},
+          {"dial", core.listener->local().str()},
           {"class", "small"},
           {"block", block},
           {"health", "SERVING"}};
