An end on a retired connection that is reset or unreadable is asked for again

The same fault elsewhere (EndRepeats): a connection that made room is read until the server closes it, and its end proved nothing lost, however it came. A reset, or a close here over an unreadable line, takes along what was still on its way, and nothing asked for it. Change: CoreLinks::down is told how a connection ended (ConnectionLoss in place of a bool); a retired one that ended otherwise than in order leaves a doubt, so that a new connection is begun.

Measured: CoreLinks.ARetiredConnectionThatIsLostOrUnreadableLeavesADoubt fails for both without the condition, passes with it.

--- a/src/platform/core_links.cpp
+++ b/src/platform/core_links.cpp
@@ -238,15 +238,17 @@
   }
 }
 
-void CoreLinks::down(ConnectionId which, bool refused, double now) {
+void CoreLinks::down(ConnectionId which, ConnectionLoss loss, double now) {
   const auto found = connections_.find(which);
   if (found == connections_.end()) return;
+  const bool refused = loss == ConnectionLoss::kRefused;
   (refused ? counts_.refused : counts_.lost) += 1;
   ports_.core_connection(server_, which, refused ? ConnectionChange::kRefused : ConnectionChange::kLost);
-  drop(which, refused, now);
+  drop(which, loss, now);
 }
 
-void CoreLinks::drop(ConnectionId which, bool refused, double now) {
+void CoreLinks::drop(ConnectionId which, ConnectionLoss loss, double now) {
+  const bool refused = loss == ConnectionLoss::kRefused;
   const auto found = connections_.find(which);
   const Connection gone = std::move(found->second);
   connections_.erase(found);
@@ -254,7 +256,8 @@
     const auto out = out_.find(id);
     if (out != out_.end()) note_unsettled(out->second.who, id, now);
   }
-  if (!gone.retired) repeats_.doubt();  // else the server had heard of its end, and has said its last
+  // A retired one that the server has closed: it had heard of its end, and has said its last.
+  if (!gone.retired || loss != ConnectionLoss::kClosed) repeats_.doubt();
   // Nobody takes connections there, and none is open: what stood was cut with the process. While one is open
   // it may be a draining server that finishes its calls, unless it has been quiet for too long.
   const bool quiet = any_up() == 0 || now >= serves_ + kGone;
@@ -345,7 +348,7 @@
   ports_.core_fault(server_, what);
   ports_.core_connection(server_, which, ConnectionChange::kUnreadable);
   ports_.close_core(which);
-  drop(which, false, now);
+  drop(which, ConnectionLoss::kReset, now);
 }
 
 void CoreLinks::received(ConnectionId from, std::string_view bytes, double now) {
@@ -476,7 +479,7 @@
     if (silent_since_ < 0) silent_since_ = now;
     ports_.core_connection(server_, id, ConnectionChange::kNotUp);
     ports_.close_core(id);
-    drop(id, false, now);
+    drop(id, ConnectionLoss::kReset, now);
   }
   if (silent_since_ >= 0 && now >= heard_ + kGone) dead("no connection comes up", now);
   if (now >= silence_ends_at()) dead("silent since it left the list or its address", now);
--- a/src/platform/core_links.hpp
+++ b/src/platform/core_links.hpp
@@ -30,6 +30,13 @@
   std::uint32_t attempt = 0;
 };
 
+// How a connection to a core server ended by the other side.
+enum class ConnectionLoss {
+  kClosed,   // in order: the server has said its last on it
+  kReset,    // or not up: what was on its way is lost
+  kRefused,  // nobody listens there
+};
+
 // What becomes of one connection to a core server.
 enum class ConnectionChange {
   kBegun,
@@ -119,7 +126,7 @@
 
   // ---- From the shell ----
   void up(ConnectionId which, double now);
-  void down(ConnectionId which, bool refused, double now);
+  void down(ConnectionId which, ConnectionLoss loss, double now);
   void received(ConnectionId from, std::string_view bytes, double now);
   void tick(double now);
   double deadline() const;
@@ -176,7 +183,7 @@
   void spoilt(ConnectionId which, const char* what, double now);
   // The connection is gone: what was out on it is a reset each, once; what waited goes elsewhere or never
   // ran.
-  void drop(ConnectionId which, bool refused, double now);
+  void drop(ConnectionId which, ConnectionLoss loss, double now);
   void release(std::uint64_t id, ConnectionId on, double now);
   void send_release(std::uint64_t id, ConnectionId on, double now);
   // Attempts at a server that takes no connections and has gone quiet are resets, before their connections
