--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -171,9 +171,12 @@
 soak_command->add_option("--seconds", soak.seconds, "of calls and trouble")->check(CLI::Range(1.0, 3600.0));
 soak_command->add_option("--edges", soak.edges, "edge proxies")->check(CLI::Range(1, 8));
 soak_command->add_option("--edge", soak.edge_program, "the mintrock-edge to run");
+bool dense = false;
+soak_command->add_flag("--dense", dense, "also signals in series, and in some trials a crowd");
 soak_command->add_option("--dir", soak.dir, "logs; a new temporary folder if not told");
 soak_command->callback([&] {
   if (soak.edge_program.empty()) soak.edge_program = beside("mintrock-edge");
+  soak.troubles.signal_series = soak.troubles.crowds = dense;
   for (std::size_t i = 0; i < soak_runs; ++i, ++soak.seed) {
     status = std::max(status, run_soak(soak));
   }
--- a/src/lab/soak/callers.cpp
+++ b/src/lab/soak/callers.cpp
@@ -76,6 +76,13 @@
   later(std::exponential_distribution<>(habits_.calls_per_s)(random_), [this] { tick(); });
 }
 
+void Callers::crowd(double times, std::size_t connections, double seconds) {
+  const CallerHabits usual = habits_;
+  habits_.calls_per_s *= times;
+  habits_.connections = connections;
+  later(seconds, [this, usual] { habits_ = usual; });
+}
+
 void Callers::edge_started() {
   may_connect_ = true;
   connect();
--- a/src/lab/soak/callers.hpp
+++ b/src/lab/soak/callers.hpp
@@ -44,6 +44,8 @@
   void edge_ending() { may_connect_ = false; }
   void edge_stopped(bool planned);
   void finish() { calling_ = false; }  // no new calls
+  // So many times the calls, on up to so many connections, for a while.
+  void crowd(double times, std::size_t connections, double seconds);
   bool ready() const { return ready_; }
   std::size_t taken() const { return taken_; }
 
--- a/src/lab/soak/soak.cpp
+++ b/src/lab/soak/soak.cpp
@@ -11,6 +11,7 @@
 #include <exception>
 #include <fstream>
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <random>
 #include <utility>
@@ -24,14 +25,16 @@
 
 using nlohmann::json;
 
-constexpr double kLook = 0.05;          // s between two looks at processes and the ledger
-constexpr double kLongestWait = 11;     // s for what is open at the end: 8 s and their slack
-constexpr double kLongestShutdown = 3;  // s that count of the longest deadline
-constexpr double kKillAfter = 0.7;      // s more until SIGKILL
-constexpr double kConnectsOn = 0.3;     // s after SIGTERM that new connections still come
-constexpr double kToldLate = 6.0;       // s until a change counts as told while discovery has faults
-constexpr double kBegins = 0.8;         // s until the first trouble
-constexpr double kReplacedAfter = 0.8;  // s until the list tells that a server has gone
+constexpr double kLook = 0.05;             // s between two looks at processes and the ledger
+constexpr double kLongestWait = 11;        // s for what is open at the end: 8 s and their slack
+constexpr double kLongestShutdown = 3;     // s that count of the longest deadline
+constexpr double kKillAfter = 0.7;         // s more until SIGKILL
+constexpr double kConnectsOn = 0.3;        // s after SIGTERM that new connections still come
+constexpr double kToldLate = 6.0;          // s until a change counts as told while discovery has faults
+constexpr double kBegins = 0.8;            // s until the first trouble
+constexpr std::size_t kSocketLimit = 512;  // descriptors of an edge proxy
+constexpr std::size_t kCrowdConnections = kSocketLimit / 3;  // callers hold no more
+constexpr double kReplacedAfter = 0.8;                       // s until the list tells that a server has gone
 
 class Trial {
  public:
@@ -75,6 +78,13 @@
   void reload(std::size_t edge, int times);
   void trouble_core_server();
   void replace(Server& server);
+  void draw_dense_troubles();
+  void signal_series();
+  void signal_again(std::size_t edge, int times);
+  void crowd();
+  double draw_dense(double least, double most) {
+    return std::uniform_real_distribution<>(least, most)(dense_random_);
+  }
   void trouble_network();
   void trouble_discovery();
   std::vector<Server*> serving();
@@ -84,6 +94,7 @@
   std::uint32_t ip_ = loopback_of_process(getpid());
   PortFinder ports_{ip_};
   std::mt19937_64 random_;
+  std::mt19937_64 dense_random_;
   std::ofstream trace_;
   Ledger ledger_;
   std::vector<CallClass> classes_;
@@ -99,6 +110,7 @@
 Trial::Trial(const Options& options)
     : options_(options),
       random_(options.seed),
+      dense_random_(~options.seed),
       trace_(options.dir + "/calls.trace"),
       ledger_(options.limits, &trace_) {
   if (!trace_) throw StartError(options.dir + "/calls.trace: " + std::strerror(errno));
@@ -143,7 +155,7 @@
           {"seed", "1"},
           {"bus", edge.discovery->address().str()},
           {"known", known},
-          {"limits", {{"cores", 1}, {"memory_mb", 64}, {"sockets", 512}}},
+          {"limits", {{"cores", 1}, {"memory_mb", 64}, {"sockets", kSocketLimit}}},
           {"settings",
            {{"classes", classes},
             {"domain", {{"clear_wait_s", 0.3}}},
@@ -325,6 +337,53 @@
   }
 }
 
+void Trial::draw_dense_troubles() {
+  constexpr double kSeriesEvery = 7.0;  // s
+  constexpr double kTrialsWithACrowd = 0.3;
+  if (options_.troubles.signal_series) {
+    for (double at = draw_dense(kBegins, kSeriesEvery); at < options_.seconds; at += kSeriesEvery) {
+      later(at, [this] { signal_series(); });
+    }
+  }
+  if (options_.troubles.crowds && draw_dense(0, 1) < kTrialsWithACrowd) {
+    later(draw_dense(kBegins, options_.seconds / 2), [this] { crowd(); });
+  }
+}
+
+void Trial::signal_series() {
+  double at = 0;
+  for (std::size_t i = 0; i < edges_.size(); ++i) {
+    later(at, [this, i] {
+      shut_down(i);
+      signal_again(i, static_cast<int>(dense_random_() % 4));
+    });
+    at += draw_dense(0.0, 1.5);
+  }
+}
+
+// What a proxy that is ending is told besides: to end, and to read its configuration.
+void Trial::signal_again(std::size_t i, int times) {
+  if (times == 0) return;
+  later(draw_dense(0.01, 1.0), [this, i, times, life = edges_[i].life] {
+    Edge& edge = edges_[i];
+    if (edge.life != life || !edge.planned || !edge.process->running()) return;
+    constexpr int kSignals[] = {SIGTERM, SIGINT, SIGHUP};
+    const int which = kSignals[dense_random_() % std::size(kSignals)];
+    note(edge.name + " signal " + std::to_string(which) + " while it ends");
+    edge.process->signal(which);
+    signal_again(i, times - 1);
+  });
+}
+
+void Trial::crowd() {
+  const std::size_t i = dense_random_() % edges_.size();
+  const double times = draw_dense(5, 15);
+  const double seconds = draw_dense(1, 4);
+  note(edges_[i].name + " has a crowd, " + std::to_string(times) + " times the calls, for " +
+       std::to_string(seconds));
+  edges_[i].callers->crowd(times, kCrowdConnections, seconds);
+}
+
 void Trial::replace(Server& server) {
   later(kReplacedAfter, [this, &server] {
     server.health = "DELETED";
@@ -390,6 +449,7 @@
   for (std::size_t i = 0; i < edges_.size(); ++i) start_edge(i);
   look();
   later(kBegins, [this] { trouble(); });
+  draw_dense_troubles();
   later(options_.seconds, [this] {
     for (Edge& edge : edges_) edge.callers->finish();
   });
--- a/src/lab/soak/soak.hpp
+++ b/src/lab/soak/soak.hpp
@@ -22,6 +22,9 @@
   bool core_servers = true;  // hang, die, vanish, are replaced and drained
   bool network = true;       // cuts, silence, connections that come up late or are closed early
   bool discovery = true;     // silent, down, broken off
+  // Drawn apart from the others, whose script they leave as it is.
+  bool signal_series = false;  // every edge proxy is ended, one after another, with more signals on the way
+  bool crowds = false;         // for a while, many times the calls and connections; in some trials
 };
 
 struct Options {
--- a/tests/lab/soak/soak_test.cpp
+++ b/tests/lab/soak/soak_test.cpp
@@ -81,6 +81,18 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, SoakSeed, testing::Range<std::uint64_t>(1, 7));
 
+// The same, with signals in series to proxies that are ending, and crowds.
+class DenseSoakSeed : public SoakSeed {};
+
+TEST_P(DenseSoakSeed, SignalSeriesAndCrowdsKeepTheRules) {
+  options_.seed = GetParam();
+  options_.troubles.signal_series = true;
+  options_.troubles.crowds = true;
+  expect_rules_kept();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, DenseSoakSeed, testing::Range<std::uint64_t>(601, 605));
+
 // An edge proxy is restarted at the very end of a silence (KNOWN-RED.txt).
 INSTANTIATE_TEST_SUITE_P(RestartInASilence, SoakSeed, testing::Values<std::uint64_t>(164));
 
