A set-up given up at a server that has spoken since is not over with its process

An attempt that was given up at a server counted as unseen for 10 s, so that a drained server which stopped long after failed calls that waited elsewhere. Change: it counts only where the server has not spoken a second or more after the release; one that has, had the release.

--- a/src/platform/core_links.cpp
+++ b/src/platform/core_links.cpp
@@ -25,7 +25,6 @@
 // A release that was written on a connection shortly before its loss may not have arrived: it is sent again.
 constexpr double kReleaseInDoubt = 1.0;  // s
 constexpr std::size_t kMostReleased = 256;
-constexpr double kUnsettled = 10.0;  // s; longer than any caller waits
 constexpr std::size_t kMostUnsettled = 256;
 constexpr double kNever = std::numeric_limits<double>::infinity();
 
@@ -333,15 +332,16 @@
   owed_.clear();
   silent_since_ = -1;
   for (const std::uint64_t id : std::exchange(standing_, {})) ports_.core_over(server_, id, true, {});
-  // A call that stood there unseen has ended with the process: it is not to be set up again.
+  // A call that stood there unseen has ended with the process: it is not to be set up again. Where the server
+  // has spoken since its release, it had that.
   for (const Unsettled& each : std::exchange(unsettled_, {})) {
-    if (now < each.until) ports_.core_run_over(each.who);
+    if (spoke_ < each.since + kReleaseInDoubt) ports_.core_run_over(each.who);
   }
 }
 
 void CoreLinks::note_unsettled(const Attempt& who, std::uint64_t id, double now) {
   if (unsettled_.size() >= kMostUnsettled) unsettled_.pop_front();
-  unsettled_.push_back({who, id, now + kUnsettled});
+  unsettled_.push_back({who, id, now});
 }
 
 // The server has said that it holds nothing of the call's earlier attempts.
--- a/src/platform/core_links.hpp
+++ b/src/platform/core_links.hpp
@@ -168,7 +168,7 @@
   struct Unsettled {
     Attempt who;
     std::uint64_t id = 0;
-    double until = 0;
+    double since = 0;
   };
   struct Owed {
     std::uint64_t id = 0;
