A reset of a retired connection leaves no doubt again: it made connections without end

Change: only an unreadable retired connection leaves a doubt; the part on resets is taken back, and its check turned round, since data that is sent before a reset is read first. ConnectionLoss tells which ends it means.

--- a/src/platform/core_links.cpp
+++ b/src/platform/core_links.cpp
@@ -106,6 +106,7 @@
   released.push_back({id, now});
   ports_.send_to_core(on, write_core_release(id, kCauseNormal));
 }
+
 std::size_t CoreLinks::releases_in_doubt(double now) const {
   std::size_t count = 0;
   for (const auto& [which, connection] : connections_) {
@@ -114,7 +115,6 @@
   return count;
 }
 
-
 void CoreLinks::give_up(std::uint64_t id, double now) {
   const auto found = out_.find(id);
   if (found == out_.end()) {
@@ -263,8 +263,8 @@
     const auto out = out_.find(id);
     if (out != out_.end()) note_unsettled(out->second.who, id, now);
   }
-  // A retired one that the server has closed: it had heard of its end, and has said its last.
-  if (!gone.retired || loss != ConnectionLoss::kClosed) repeats_.doubt();
+  // Of a retired one the server had heard, and has said its last on it.
+  if (!gone.retired || loss == ConnectionLoss::kUnreadable) repeats_.doubt();
   // Nobody takes connections there, and none is open: what stood was cut with the process. While one is open
   // it may be a draining server that finishes its calls, unless it has been quiet for too long.
   const bool quiet = any_up() == 0 || now >= serves_ + kGone;
@@ -356,7 +356,7 @@
   ports_.core_fault(server_, what);
   ports_.core_connection(server_, which, ConnectionChange::kUnreadable);
   ports_.close_core(which);
-  drop(which, ConnectionLoss::kReset, now);
+  drop(which, ConnectionLoss::kUnreadable, now);
 }
 
 void CoreLinks::received(ConnectionId from, std::string_view bytes, double now) {
@@ -487,7 +487,7 @@
     if (silent_since_ < 0) silent_since_ = now;
     ports_.core_connection(server_, id, ConnectionChange::kNotUp);
     ports_.close_core(id);
-    drop(id, ConnectionLoss::kReset, now);
+    drop(id, ConnectionLoss::kNotUp, now);
   }
   if (silent_since_ >= 0 && now >= heard_ + kGone) dead("no connection comes up", now);
   if (now >= silence_ends_at()) dead("silent since it left the list or its address", now);
--- a/src/platform/core_links.hpp
+++ b/src/platform/core_links.hpp
@@ -30,11 +30,12 @@
   std::uint32_t attempt = 0;
 };
 
-// How a connection to a core server ended by the other side.
+// How a connection to a core server ended.
 enum class ConnectionLoss {
-  kClosed,   // in order: the server has said its last on it
-  kReset,    // or not up: what was on its way is lost
-  kRefused,  // nobody listens there
+  kEnded,       // closed or reset by the other side; some servers answer an end of writing with a reset
+  kRefused,     // nobody listens there
+  kNotUp,       // it could not be made
+  kUnreadable,  // closed here over what came on it, unread bytes behind it
 };
 
 // What becomes of one connection to a core server.
@@ -136,9 +137,9 @@
   std::size_t out() const { return out_.size(); }
   std::size_t standing() const { return standing_.size(); }
   std::size_t owed() const { return owed_.size(); }
-
   // Releases that were written, but may not have arrived if their connection ended now.
   std::size_t releases_in_doubt(double now) const;
+
  private:
   struct Released {
     std::uint64_t id = 0;
--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -377,7 +377,7 @@
   } catch (const std::exception& error) {  // no descriptor
     log_event(warn, "core_connect_failed", {{"detail", error.what()}});
     loop_.defer([this, id, server] {
-      if (CoreLinks* const at = links(server)) at->down(id, ConnectionLoss::kReset, loop_.now());
+      if (CoreLinks* const at = links(server)) at->down(id, ConnectionLoss::kNotUp, loop_.now());
       watch();
     });
     return id;
@@ -392,9 +392,8 @@
                  watch();
                },
                [this, id, server, raw = stream.get()](const std::string&) {
-                 const ConnectionLoss loss = raw->error() == 0              ? ConnectionLoss::kClosed
-                                             : raw->error() == ECONNREFUSED ? ConnectionLoss::kRefused
-                                                                            : ConnectionLoss::kReset;
+                 const ConnectionLoss loss =
+                     raw->error() == ECONNREFUSED ? ConnectionLoss::kRefused : ConnectionLoss::kEnded;
                  core_streams_.erase(id);
                  if (CoreLinks* const at = links(server)) at->down(id, loss, loop_.now());
                  sweep();
