--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -16,7 +16,7 @@
 #include "lab/parts.hpp"
 #include "lab/plot.hpp"
 #include "lab/process.hpp"
-#include "lab/soak/soak.hpp"
+#include "lab/soak/command.hpp"
 #include "lab/trace.hpp"
 
 namespace {
@@ -39,23 +39,6 @@
   return (fs::read_symlink("/proc/self/exe").parent_path() / name).string();
 }
 
-// One trial, told on standard output; 0 if all rules were kept.
-int run_soak(lab::soak::Options options) {
-  if (options.dir.empty()) options.dir = lab::make_temporary_folder("mintrock-soak");
-  const lab::soak::Report report = lab::soak::run(options);
-  std::printf("seed %llu: %zu taken, %zu served, %zu ends told, %zu violations%s; logs in %s\n",
-              static_cast<unsigned long long>(options.seed), report.taken, report.served, report.ended,
-              report.violations.size(), report.settled ? "" : ", not settled", options.dir.c_str());
-  std::fflush(stdout);
-  if (report.good()) return 0;
-  for (const std::string& each : report.timeline) std::printf("  %s\n", each.c_str());
-  for (const lab::soak::Violation& each : report.violations) {
-    std::printf("  BROKEN %.3f %s: call %016llx %s\n", each.at, lab::soak::name(each.rule),
-                static_cast<unsigned long long>(each.call), each.what.c_str());
-  }
-  return 1;
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -163,24 +146,7 @@
   if (bench.edge_program.empty()) bench.edge_program = beside("mintrock-edge");
   status = lab::run_restart(bench);
 });
-lab::soak::Options soak;
-std::size_t soak_runs = 1;
-CLI::App* soak_command = app.add_subcommand("soak", "short, dense, seeded trials of the platform route");
-soak_command->add_option("--seed", soak.seed, "of the first trial; each further one has the next");
-soak_command->add_option("--runs", soak_runs, "trials, one after another")->check(CLI::Range(1, 10000));
-soak_command->add_option("--seconds", soak.seconds, "of calls and trouble")->check(CLI::Range(1.0, 3600.0));
-soak_command->add_option("--edges", soak.edges, "edge proxies")->check(CLI::Range(1, 8));
-soak_command->add_option("--edge", soak.edge_program, "the mintrock-edge to run");
-bool dense = false;
-soak_command->add_flag("--dense", dense, "also signals in series, and in some trials a crowd");
-soak_command->add_option("--dir", soak.dir, "logs; a new temporary folder if not told");
-soak_command->callback([&] {
-  if (soak.edge_program.empty()) soak.edge_program = beside("mintrock-edge");
-  soak.troubles.signal_series = soak.troubles.crowds = dense;
-  for (std::size_t i = 0; i < soak_runs; ++i, ++soak.seed) {
-    status = std::max(status, run_soak(soak));
-  }
-});
+lab::soak::add_command(app, beside("mintrock-edge"), status);
 
 std::uint16_t port = 0, to = 0;
 CLI::App* bench_core = app.add_subcommand("bench-core", "a core server of `bench`")->group("");
