--- a/src/membership/trust.hpp
+++ b/src/membership/trust.hpp
@@ -25,8 +25,7 @@
   double first_choice_at = 0.5;  // from this trust on an entry may be a first choice; 0 to 1
   double warm_at = 0.9;          // from this trust on it is told as it was kept, below as just started
   // Below this trust an entry is told as just started, so that the budget for cold servers holds it. 0:
-  // never. Without a kept rate of what the server took, that budget is about one set-up a window, for a whole
-  // warm-up: measured, nearly every call of it was refused (docs/membership.md).
+  // never, since that budget knows no kept rate (docs/membership.md).
   double cold_below = 0;
   double least = 1e-4;         // below, an entry is too old: used only where no other is left
   double peer_share = 0.8;     // a peer's word counts for so much of the list's own; 0 to 1
--- a/src/platform/core_links.cpp
+++ b/src/platform/core_links.cpp
@@ -14,10 +14,8 @@
 constexpr double kRetryLongest = 1.0;
 // With this long nothing heard from a server that holds calls, a new connection shows whether it is there.
 constexpr double kQuiet = 1.5;  // s
-// Ends must be told within 8 s, whoever is gone. A process that refuses connections and has shown for so long
-// that it serves nobody has stopped: sooner it may drain, or hold as many connections as it can, with its
-// calls. So has a machine to which none comes up for so long: later, an end that a cut swallowed might come
-// too late.
+// A process that serves nobody, or a machine that takes no connection, for so long is gone: ends are due
+// within 8 s.
 constexpr double kGone = 5.0;         // s
 constexpr double kOweRelease = 30.0;  // s; by then the call has ended there by itself
 constexpr std::size_t kMostOwed = 4096;
