--- a/tests/platform/core_links_test.cpp
+++ b/tests/platform/core_links_test.cpp
@@ -486,11 +486,10 @@
   EXPECT_EQ(w.last, first);
 }
 
-// One that makes room is read until the server closes it; where it ends otherwise, an end may go down with
-// it.
-TEST(CoreLinks, ARetiredConnectionThatIsLostOrUnreadableLeavesADoubt) {
-  enum class Fate { kClosed, kReset, kUnreadable };
-  for (const Fate fate : {Fate::kClosed, Fate::kReset, Fate::kUnreadable}) {
+// One that makes room is read until the server ends it, by a reset too: a doubt then would ask for the next
+// connection, which makes room again, without end. Where its bytes can't be read, an end may go down with it.
+TEST(CoreLinks, ARetiredConnectionLeavesADoubtOnlyWhereItIsUnreadable) {
+  for (const bool unreadable : {false, true}) {
     World w;
     w.stand();
     w.speak(1, 0.1);
