A call that is over with its server's process is told before its next attempt fails there

Seen: PlatformEdge.ACallWhoseServerDiesBeforeItsAnswerComesHasFailed failed once in a whole run of the tests beside other work: the caller was refused (42) in place of told that the call has failed (41). Cause, by the test's log: the release wait (50 ms there) was over before the first new connection was refused; the next attempt waited at the same server, and dead() ended it as 'connect failed' before it told of the earlier run, so that the module refused a call that may have run: a promise that cannot be given. Change: dead() tells of the runs first, and of set-ups that waited last.

Measured: CoreLinks.WhatMayHaveStoodUnseenIsOverBeforeItsNextAttemptFails fails with the order before ('ended 2/1' first), passes now; the test that failed: 60 of 60 beside eight busy processes.

--- a/src/platform/core_links.cpp
+++ b/src/platform/core_links.cpp
@@ -317,7 +317,8 @@
   for (const std::uint64_t id : standing_) {
     if (last_word != 0) ports_.send_to_core(last_word, write_core_release(id, kCauseNormal));
   }
-  for (const auto& [id, connection] : std::exchange(connections_, {})) {
+  const auto closed = std::exchange(connections_, {});
+  for (const auto& [id, connection] : closed) {
     ports_.core_connection(server_, id, ConnectionChange::kServerGone);
     ports_.close_core(id);
     for (const std::uint64_t setup : connection.open) {
@@ -325,13 +326,20 @@
       if (out != out_.end()) note_unsettled(out->second.who, setup, now);
       end(setup, Outcome::kReset, now);
     }
-    for (const std::uint64_t setup : connection.waiting) end(setup, Outcome::kConnectFailed, now);
   }
   owed_.clear();
   silent_since_ = -1;
   for (const std::uint64_t id : std::exchange(standing_, {})) ports_.core_over(server_, id, true, {});
-  // A call that stood there unseen has ended with the process: it is not to be set up again. Where the server
-  // has spoken since its release, it had that.
+  tell_runs_over();
+  // Last: of those that are over now, a next attempt that waits here must not make a refusal.
+  for (const auto& [id, connection] : closed) {
+    for (const std::uint64_t setup : connection.waiting) end(setup, Outcome::kConnectFailed, now);
+  }
+}
+
+// A call that stood there unseen has ended with the process: it is not to be set up again. Where the server
+// has spoken since its release, it had that.
+void CoreLinks::tell_runs_over() {
   for (const Unsettled& each : std::exchange(unsettled_, {})) {
     if (spoke_ < each.since + kReleaseInDoubt) ports_.core_run_over(each.who);
   }
--- a/src/platform/core_links.hpp
+++ b/src/platform/core_links.hpp
@@ -200,6 +200,7 @@
   void dead(const char* why, double now);
   void note_unsettled(const Attempt& who, std::uint64_t id, double now);
   void settle_attempts(std::uint64_t id);
+  void tell_runs_over();
   void note_serves(double now);
   double probe_at() const;
   double silence_ends_at() const;
--- a/tests/platform/core_links_test.cpp
+++ b/tests/platform/core_links_test.cpp
@@ -338,6 +338,20 @@
   EXPECT_EQ(w.events, over) << "14 was heard to be released";
 }
 
+// The next attempt of the call waits at the same server when its process is found to be gone: told first, its
+// failure would be a refusal, as of a call that never ran.
+TEST(CoreLinks, WhatMayHaveStoodUnseenIsOverBeforeItsNextAttemptFails) {
+  World w;
+  w.all_up(0);
+  w.set_up(2, 0, 12, 0.1);
+  w.links.down(1, ConnectionLoss::kEnded, 0.2);
+  w.links.down(2, ConnectionLoss::kEnded, 0.2);
+  w.set_up(2, 1, 12, 0.3);
+  w.events.clear();
+  w.links.down(w.last - 1, ConnectionLoss::kRefused, 0.31);
+  EXPECT_EQ(w.events, (std::vector<std::string>{"run over 2", World::ended(2, 1, Outcome::kConnectFailed)}));
+}
+
 // A drained server that ends long after a set-up was given up there holds nothing of it.
 TEST(CoreLinks, WhatWasGivenUpAtAServerThatSpokeSinceIsNotOverWithItsProcess) {
   World w;
