An end that no caller can be told is not held up by the shutdown

Cause, by trace and log: n0 had its SIGTERM at 4107.150 and no caller's connection left since 4108.05; it waited on for releases that were owed or not heard until 4110.12, took the end, and could tell nobody. Change: once callers have gone and an end waits for one, the process ends; the server repeats the end to the next process, which the callers name the call to.

--- a/src/platform/caller_side.hpp
+++ b/src/platform/caller_side.hpp
@@ -87,6 +87,8 @@
   // until there is one.
   void end(std::uint64_t id, int cause, double now);
 
+  // Ends of calls that no connection could carry yet.
+  std::size_t ends_waiting() const { return ends_.size(); }
   std::size_t connections() const { return connections_.size(); }
   std::size_t open() const { return open_.size(); }
   std::size_t standing() const { return standing_.size(); }
--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -720,7 +720,9 @@
   }
   std::size_t owed = 0;
   for (const auto& [id, core] : cores_) owed += core.links->owed() + core.links->releases_in_doubt(now);
-  const bool done = leaving_ && callers_.connections() == 0 && loop_.closing() == 0 && owed == 0;
+  const bool callers_gone = leaving_ && callers_.connections() == 0 && loop_.closing() == 0;
+  // An end that comes now can be told by the next process alone: nothing owed is worth its delay.
+  const bool done = callers_gone && (owed == 0 || callers_.ends_waiting() > 0);
   constexpr double kLastBytes = 0.2;  // s for what was written last
   if (done || now >= drain_until_ + kLastBytes) {
     loop_.timers().cancel(state_timer_);
--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -756,6 +756,34 @@
   }
 }
 
+// Soak --dense, seed 822: the end of a call came while the process waited for a release without a caller's
+// connection left, and was told by the next process only, 2 s later.
+TEST(PlatformEdge, AnEndThatNoCallerCanBeToldIsNotHeldUpByTheShutdown) {
+  Stage stage;
+  std::size_t place = 0;
+  stage.core.reply = [&](std::size_t on, const std::string& id) {
+    if (id == hex_id(7)) stage.core.answer(on, id);
+    place = on;
+  };
+  Caller caller(stage.loop, stage.edge->listening());
+  caller.setup(7);
+  ASSERT_TRUE(stage.until([&] { return caller.got.size() == 1; }));
+  caller.setup(8, "status", "9000");
+  ASSERT_TRUE(stage.until([&] { return stage.core.count("setup") == 2; }));
+  constexpr double kHangsUp = 0.8;  // s after the signal; its release goes unheard
+  constexpr double kCallEnds = 1.1;
+  stage.loop.after(kHangsUp, [&] {
+    caller.stream->write(write_release(8, kCauseNormal));
+    caller.stream->close_after_flush();
+  });
+  stage.loop.after(kCallEnds, [&] {
+    stage.core.say(place, R"({"type":"release","id":")" + hex_id(7) + R"(","fields":{},"cause":16})");
+  });
+  const double ended = ends_after(stage);
+  EXPECT_GT(ended, kCallEnds);
+  EXPECT_LT(ended, kCallEnds + 0.3);
+}
+
 // A set-up in pieces when the process ends: the rest still comes, and is answered.
 TEST(PlatformEdge, AHalfArrivedSetupIsAnsweredThroughTheEnd) {
   Stage stage;
