--- a/review/stand_ins/edge_stand_ins.py
+++ b/review/stand_ins/edge_stand_ins.py
@@ -126,7 +126,7 @@
 class Core:
     """One core server. `answer_after` and `hold` are seconds; `on_setup` may take over a set-up."""
 
-    def __init__(self, loop, record, name, ip, circuits=200, answer_after=0.02):
+    def __init__(self, loop, record, name, ip, circuits=200, answer_after=0.02, port=0):
         self.loop, self.record, self.name = loop, record, name
         self.circuits, self.answer_after = circuits, answer_after
         self.conns, self.calls = [], {}
@@ -141,7 +141,7 @@
         self.life = 0
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind((ip, 0))
+        self.listener.bind((ip, port))
         self.listener.listen(128)
         self.listener.setblocking(False)
         self.address = self.listener.getsockname()
@@ -283,6 +283,18 @@
             conn.drop(True)
         self.resume_accepting()
 
+    def stop(self):
+        """The process ends: its connections are reset, nothing listens any more, its calls are cut."""
+        ended = [call.id for call in self.calls.values() if call.stands]
+        self.record(self.name, f"stops; {len(ended)} standing calls are cut: {' '.join(ended)}")
+        self.life += 1
+        self.calls = {}
+        self.loop.remove_reader(self.listener)
+        self.listener.close()
+        for conn in list(self.conns):
+            conn.drop(True)
+        return ended
+
     def close(self):
         self.life += 1
         self.loop.remove_reader(self.listener)
