--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,16 +10,15 @@
 LOST_FOR = 4.0    # s; the pages name 5 s
 LIST_AFTER = 0.7  # s from the return until the list tells of the new start
 HOLD = 16.0       # s that the calls which are watched stand
-MARGIN = 0.5      # s that the test grants beyond the bound
 
 
 async def play(loop, record, temp, ip, edges):
     bus = Bus(loop, record, ip)
     await bus.start()
-    cores = [Core(loop, record, f"s-{number:08x}", ip) for number in (0xc41f7a, 0x9a113, 0x51e6b0)]
-    # The zone lagos has the first core server, abuja the other two and the proxy.
+    cores = [Core(loop, record, f"s-{number:08x}", ip) for number in (0xc41f7a, 0x9a113, 0x51e6b0, 0x7d02c5)]
+    # The zone lagos has the first core server, abuja the other three and the proxy.
     hosts = [host(core, block, site="abuja" if block else "lagos") for block, core in enumerate(cores)]
-    edge = Edge(loop, record, temp, ip, bus, settings(zone=1, domain__skilled_pools=[[0, 1, 2]] * 3))
+    edge = Edge(loop, record, temp, ip, bus, settings(zone=1, domain__skilled_pools=[[0, 1, 2, 3]] * 3))
     edges.append(edge)
     await edge.start(bus.first(hosts))
     caller = Caller(loop, record, edge)
@@ -35,7 +34,7 @@
         number = 0x2000
         while True:
             number += 1
-            conn.setup(number, dest=number % 3)
+            conn.setup(number, dest=number % 4)
             await asyncio.sleep(0.3)
 
     background = loop.create_task(traffic())
@@ -55,11 +54,11 @@
         cores[0].return_cold()
         await asyncio.sleep(LIST_AFTER)
         bus.publish([host(cores[0], 0, born_ms=born_ms)])
-    await asyncio.sleep(HOLD + ENDED_BOUND + MARGIN + 2)
+    await asyncio.sleep(HOLD + ENDED_BOUND + 2)
     background.cancel()
     if not conn.open:
         raise CannotRun("the callers' connection ended")
-    return ends_not_released(caller, ends, MARGIN, record.now())
+    return ends_not_released(caller, ends, record.now())
 
 
 run_case(os.path.dirname(os.path.abspath(__file__)), play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,7 +8,7 @@
 
 RESTING = 4.0  # s without a call after which callers close a connection
 HOLD = 9.0     # s that the calls stand; the mean of the settings is 9.6 s and 11.5 s
-MARGIN = 0.5   # s that the test grants beyond the bound
+TELL = 1.05    # s that the proxy has to send a release on a connection that is open, with the slack
 
 
 async def play(loop, record, temp, ip, edges):
@@ -50,12 +50,19 @@
         await asyncio.sleep(0.1)
         record("caller", "closes connection 1, which has carried no call for 4 s")
         first.close()
-    await asyncio.sleep(HOLD + ENDED_BOUND + MARGIN + 3)
+    await asyncio.sleep(HOLD + ENDED_BOUND + 3)
     if keeper:
         keeper.cancel()
         record("caller", "other connections were open: " +
                ", ".join(f"{a:.3f} to {b or record.now():.3f}" for a, b in open_time))
-    return ends_not_released(caller, ends, MARGIN, record.now())
+    if TROUBLE:  # excused: an end at which no connection was open for as long as its release may take
+        for call, at in list(ends.items()):
+            if not any(since <= at and (until or record.now()) >= at + TELL for since, until in open_time):
+                record("case", f"call {call:016x} isn't judged: no connection was open for {TELL} s")
+                del ends[call]
+        if not ends:
+            raise CannotRun("no end came while a connection was open")
+    return ends_not_released(caller, ends, record.now())
 
 
 run_case(os.path.dirname(os.path.abspath(__file__)), play)
--- a/review/stand_ins/edge_stand_ins.py
+++ b/review/stand_ins/edge_stand_ins.py
@@ -4,7 +4,7 @@
 Pages: node/PROTOCOL.md (messages, event bus), node/DEPLOY.md (configuration, start), WIRE (settings).
 """
 import asyncio
-import errno
+import ctypes
 import json
 import os
 import signal
@@ -130,6 +130,7 @@
         self.loop, self.record, self.name = loop, record, name
         self.circuits, self.answer_after = circuits, answer_after
         self.conns, self.calls = [], {}
+        self.proxies = 1  # that connect here; each is told the state on four connections at most
         self.next_conn = 1
         self.unrepeated = []  # releases to be sent once more on the next connection
         self.machine_replaced = False
@@ -178,7 +179,7 @@
         conn.send(self.state())
 
     def group_changed(self):
-        for conn in [c for c in self.conns if c.open][:4]:
+        for conn in [c for c in self.conns if c.open][:4 * self.proxies]:
             self.send_state(conn)
 
     def line(self, conn, message):
@@ -402,6 +403,11 @@
     return out
 
 
+def end_with_parent():
+    """In the child: it is killed if this process ends without having ended it."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
+
+
 class Edge:
     """One edge proxy, started by the `run` command of the deploy file."""
 
@@ -428,7 +434,7 @@
         with open(self.log_path, "wb") as log:
             self.process = await asyncio.create_subprocess_exec(
                 "/bin/sh", "-c", run, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log,
-                stderr=log, start_new_session=True)
+                stderr=log, start_new_session=True, preexec_fn=end_with_parent)
         for _ in range(1000):
             if self.process.returncode is not None:
                 raise CannotRun(f"{self.name} ended with {self.process.returncode} before it was ready")
@@ -559,11 +565,14 @@
 ENDED_BOUND = 8.0 + 0.05  # s from the end of a call to its release to the caller, and the slack of every limit
 
 
-def ends_not_released(caller, ends, margin, now):
-    """The calls that had stood for their caller and were not released to it in time after their end."""
+def ends_not_released(caller, ends, now, not_before=0.0):
+    """The calls that had stood for their caller and were not released to it in time after their end.
+
+    The bound is counted from `not_before` where that is later than the end.
+    """
     broken = []
     for call, at in sorted(ends.items(), key=lambda each: each[1]):
-        limit = at + ENDED_BOUND + margin
+        limit = max(at, not_before) + ENDED_BOUND
         if not any(final[1] == "answer" for final in caller.finals.get(call, [])) or limit > now:
             continue
         told = [when for when, _ in caller.releases.get(call, [])]
