Calls of a core server's earlier process end when its restart is listed

Callers saw: a core server's machine was lost for 4 s and came back cold, with the same id and address.

Cause: whether a process had ended was judged by its address, in three places: a refusal, no connection for 5 s, silence off the list. One that is back within 5 s passes all of them, and the later start in the list reached the Controller alone.

Change: each call keeps the time since which its process is known to run, and a later start ends the calls, attempts and connections from before it. All evidence of a process's end is judged by one pure part, process_evidence. A line since the start on an older connection outweighs the list, 5 s at most.

--- a/src/list/server_list.cpp
+++ b/src/list/server_list.cpp
@@ -57,6 +57,11 @@
 
 }  // namespace
 
+double monotonic_start(double started_at, double now, double wall) {
+  if (started_at <= 0) return 0;
+  return std::max(0.0, std::min(now, now - (wall - started_at)));
+}
+
 Update parse_update(const std::string& json_text) {
   const json parsed = json::parse(json_text, nullptr, false);
   if (!parsed.is_object()) throw std::runtime_error("the list event is not a JSON object");
@@ -128,8 +133,7 @@
     each.kind = entry.kind;
     each.weight = entry.weight;
     each.state = entry.state;
-    // A start before the monotonic clock's origin counts as long ago, a start in the future as now.
-    if (entry.started_at > 0) each.since = std::max(0.0, std::min(now, now - (wall - entry.started_at)));
+    each.since = monotonic_start(entry.started_at, now, wall);
     out.entries.push_back(each);
   }
   return out;
--- a/src/list/server_list.hpp
+++ b/src/list/server_list.hpp
@@ -33,6 +33,11 @@
   std::vector<std::string> errors;  // one line for each omitted entry: its index and the error
 };
 
+// Converts a start time of the list to the monotonic clock; `now` and `wall` are the monotonic clock and the
+// wall clock at the same instant. A start before the monotonic clock's origin, or at no known time, becomes
+// 0, a start in the future becomes `now`.
+double monotonic_start(double started_at, double now, double wall);
+
 // Parses the JSON of one event. A malformed entry is omitted and reported in `errors`. Throws
 // std::runtime_error if the text is not a list event at all.
 Update parse_update(const std::string& json_text);
--- a/src/platform/core_connections.cpp
+++ b/src/platform/core_connections.cpp
@@ -1,7 +1,6 @@
 #include "platform/core_connections.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "platform/causes.hpp"
@@ -16,10 +15,7 @@
 constexpr double kInitialRetryDelay = 0.1;  // s
 constexpr double kMaxRetryDelay = 1.0;      // s
 // A server that holds calls and has sent nothing for this long is probed with a new connection.
-constexpr double kQuietTimeout = 1.5;  // s
-// A process that serves no calls, or a machine that accepts no connections, for this long is taken for gone:
-// the end of a call must be reported to its caller within 8 s.
-constexpr double kGoneTimeout = 5.0;         // s
+constexpr double kQuietTimeout = 1.5;        // s
 constexpr double kPendingReleaseTtl = 30.0;  // s; by then the call has ended at the server by itself
 constexpr std::size_t kMaxPendingReleases = 4096;
 constexpr std::size_t kMaxAbandoned = 1024;  // ids of abandoned attempts that one connection remembers
@@ -27,7 +23,11 @@
 constexpr double kReleaseUnconfirmed = 1.0;  // s
 constexpr std::size_t kMaxSentReleases = 256;
 constexpr std::size_t kMaxUnconfirmedAttempts = 256;
-constexpr double kNever = std::numeric_limits<double>::infinity();
+// A process may accept connections this shortly before the start that the list tells of it.
+constexpr double kStartTolerance = 0.1;  // s
+// A call that its caller reports was established at most this long before, unless the proxy that set it up
+// had the time to learn of the server's restart itself: list updates are up to 5 s late.
+constexpr double kHandoverTime = 5.0;  // s
 
 }  // namespace
 
@@ -60,8 +60,8 @@
   return connections_.rbegin()->first;
 }
 
-ConnectionId CoreConnections::any_usable() const {
-  for (const auto& [id, connection] : connections_) {
+ConnectionId CoreConnections::first_usable(const std::map<ConnectionId, Connection>& connections) {
+  for (const auto& [id, connection] : connections) {
     if (connection.up && !connection.retired) return id;
   }
   return 0;
@@ -126,11 +126,14 @@
   }
   const ConnectionId on = found->second.connection;
   const bool written = found->second.written;
-  if (written) add_unconfirmed(found->second.attempt, id, now);
-  in_flight_.erase(found);
   // The connection may be removed already: the end of one set-up on it can make the call manager release the
   // next one.
   const auto connection = connections_.find(on);
+  if (written) {
+    const double held_since = connection == connections_.end() ? now : connection->second.up_since;
+    add_unconfirmed(found->second.attempt, id, held_since, now);
+  }
+  in_flight_.erase(found);
   if (!written) {
     if (connection == connections_.end()) return;
     std::deque<std::uint64_t>& queued = connection->second.queued;
@@ -194,7 +197,18 @@
 
 void CoreConnections::address_reassigned(double now) {
   address_reassigned_ = true;
-  if (any_usable() == 0) declare_gone("its address belongs to another server", now);
+  end_if_gone(now);
+}
+
+void CoreConnections::restarted(double started_at, double now) {
+  restarted_before_ = started_at - kStartTolerance;
+  end_if_gone(now);
+}
+
+// A start that was listed before the call was reported was also known to the proxy that set the call up.
+void CoreConnections::take_over(std::uint64_t id, double now) {
+  established_[id] = {std::max(restarted_before_, now - kHandoverTime), true};
+  missed_ends_.previous_process_had_calls();
 }
 
 void CoreConnections::note_serving(double now) {
@@ -223,11 +237,40 @@
                        : connection.started_at + settings_.connect_timeout_s;
 }
 
-// A server that left the list or lost its address can't be probed by a new connection. While it holds
-// established calls, silence is the only sign that it is gone.
-double CoreConnections::silence_deadline() const {
-  const bool left = address_reassigned_ || state_ == ServerEntry::State::kGone;
-  return left && !established_.empty() ? last_line_at_ + kGoneTimeout : kNever;
+bool CoreConnections::is_older(const Connection& connection) const {
+  return connection.up && connection.up_since < restarted_before_;
+}
+
+ProcessEvidence CoreConnections::evidence(ConnectionEnd latest_end) const {
+  ProcessEvidence out;
+  out.left_list = state_ == ServerEntry::State::kGone;
+  out.address_reassigned = address_reassigned_;
+  out.latest_end = latest_end;
+  out.usable_connection = any_usable() != 0;
+  out.connects_time_out = unreachable_since_ >= 0;
+  out.established_calls = !established_.empty();
+  out.last_activity_at = last_activity_;
+  out.last_line_at = last_line_at_;
+  out.last_serving_at = last_serving_at_;
+  if (restarted_before_ == 0) return out;
+  for (const auto& [id, connection] : connections_) {
+    if (!is_older(connection)) continue;
+    out.restarted = true;
+    const double line_at = connection.last_line_at;
+    const bool first = out.older_connection_line_at == kNever;
+    if (line_at >= restarted_before_ + kStartTolerance && (first || line_at > out.older_connection_line_at))
+      out.older_connection_line_at = line_at;
+  }
+  out.restarted = out.restarted ||
+                  std::any_of(established_.begin(), established_.end(),
+                              [&](const auto& each) { return each.second.held_since < restarted_before_; });
+  return out;
+}
+
+ProcessEnd CoreConnections::end_if_gone(double now, ConnectionEnd latest_end) {
+  const ProcessEnd end = find_process_end(evidence(latest_end), now);
+  if (end != ProcessEnd::kNone) end_process(end, now);
+  return end;
 }
 
 void CoreConnections::connected(ConnectionId which, double now) {
@@ -270,27 +313,17 @@
   connections_.erase(found);
   for (const std::uint64_t id : lost.in_flight) {
     const auto entry = in_flight_.find(id);
-    if (entry != in_flight_.end()) add_unconfirmed(entry->second.attempt, id, now);
+    if (entry != in_flight_.end()) add_unconfirmed(entry->second.attempt, id, lost.up_since, now);
   }
   // A retired connection loses no end: the server saw the half-close and wrote all it had before it closed.
   if (!lost.retired || loss == ConnectionLoss::kUnreadable) missed_ends_.suspect_loss();
-  // If the address refuses connections and none is open, the process is gone and its established calls were
-  // cut. While one is open, it may be a draining server that finishes its calls, unless it has shown no
-  // sign of serving for too long.
-  const bool not_serving = any_usable() == 0 || now >= last_serving_at_ + kGoneTimeout;
   refused_ = refused_ || refused;
-  // Connections are accepted but closed without a single line: the process is gone, and something else
-  // accepts connections at its address.
-  const bool closed_silently =
-      lost.up && !lost.line_received && any_usable() == 0 && now >= last_line_at_ + kGoneTimeout;
-  const bool process_gone =
-      (refused && not_serving) || closed_silently || (address_reassigned_ && any_usable() == 0);
-  if (process_gone) {
-    declare_gone(refused           ? "refused"
-                 : closed_silently ? "closes connections without sending a line"
-                                   : "its address belongs to another server",
-                 now);
-  } else if (refused && now >= last_activity_ + kQuietTimeout) {
+  const ConnectionEnd latest_end = refused                          ? ConnectionEnd::kRefused
+                                   : lost.up && !lost.line_received ? ConnectionEnd::kClosedWithoutLine
+                                                                    : ConnectionEnd::kOther;
+  const ProcessEnd end = end_if_gone(now, latest_end);
+  const bool process_gone = end != ProcessEnd::kNone && end != ProcessEnd::kRestarted;
+  if (!process_gone && refused && now >= last_activity_ + kQuietTimeout) {
     abandon_attempts(now);
   }
   for (const SentRelease& each : lost.sent_releases) {
@@ -324,29 +357,59 @@
   }
 }
 
-// The process is gone: its calls are cut, releases are pointless, and the remaining connections are closed.
-void CoreConnections::declare_gone(const char* reason, double now) {
-  if (!idle()) delegate_.core_gone(server_, reason, established_.size());
-  // In case the process is alive after all, it must not keep calls that are reported as ended.
-  const ConnectionId usable = any_usable();
-  for (const std::uint64_t id : established_) {
-    if (usable != 0) delegate_.send_to_core(usable, write_core_release(id, kCauseNormal));
-  }
-  const auto closed = std::exchange(connections_, {});
-  for (const auto& [id, connection] : closed) {
-    delegate_.core_connection_changed(server_, id, ConnectionChange::kServerGone);
-    delegate_.close_core(id);
-    for (const std::uint64_t setup : connection.in_flight) {
-      const auto entry = in_flight_.find(setup);
-      if (entry != in_flight_.end()) add_unconfirmed(entry->second.attempt, setup, now);
-      end_attempt(setup, Outcome::kReset, now);
+std::map<std::uint64_t, CoreConnections::EstablishedCall> CoreConnections::take_calls_held_before(
+    double time) {
+  std::map<std::uint64_t, EstablishedCall> out;
+  for (auto it = established_.begin(); it != established_.end();) {
+    if (it->second.held_since >= time) {
+      ++it;
+      continue;
     }
+    out.insert(*it);
+    it = established_.erase(it);
+  }
+  return out;
+}
+
+// A connection that is not established yet belongs to whichever process accepts it.
+std::map<ConnectionId, CoreConnections::Connection> CoreConnections::take_connections_from_before(
+    double time) {
+  std::map<ConnectionId, Connection> out;
+  for (auto it = connections_.begin(); it != connections_.end();) {
+    const bool older = time == kNever || (it->second.up && it->second.up_since < time);
+    if (older)
+      out.insert(connections_.extract(it++));
+    else
+      ++it;
+  }
+  return out;
+}
+
+// The process is gone: its calls are cut, releases are pointless, and its connections are closed.
+void CoreConnections::end_process(ProcessEnd end, double now) {
+  const bool replaced = end == ProcessEnd::kRestarted;
+  const double before = replaced ? restarted_before_ : kNever;
+  const auto cut = take_calls_held_before(before);
+  if (replaced || !cut.empty() || !idle()) delegate_.core_gone(server_, name(end), cut.size());
+  const auto closed = take_connections_from_before(before);
+  // In case the process is alive after all, it must not keep calls that are reported as ended. If a later
+  // process is running, only a call that a caller reported may be held by that.
+  const ConnectionId usable = replaced ? any_usable() : first_usable(closed);
+  for (const auto& [id, call] : cut) {
+    if (usable != 0 && (!replaced || call.reported_by_caller))
+      delegate_.send_to_core(usable, write_core_release(id, kCauseNormal));
+  }
+  double last_line_at = replaced ? 0 : last_line_at_;
+  for (const auto& [id, connection] : closed) {
+    last_line_at = std::max(last_line_at, connection.last_line_at);
+    close_connection_of_gone(id, connection, now);
   }
-  pending_releases_.clear();
-  unreachable_since_ = -1;
-  for (const std::uint64_t id : std::exchange(established_, {}))
-    delegate_.core_call_ended(server_, id, true, {});
-  report_unconfirmed_ended();
+  if (!replaced) {
+    pending_releases_.clear();
+    unreachable_since_ = -1;
+  }
+  for (const auto& [id, call] : cut) delegate_.core_call_ended(server_, id, true, {});
+  report_unconfirmed_ended(before, last_line_at);
   // Queued set-ups go last. One can be the next attempt of a call that has just been reported as ended;
   // failed before that report, it would make the call look refused.
   for (const auto& [id, connection] : closed) {
@@ -354,18 +417,34 @@
   }
 }
 
+void CoreConnections::close_connection_of_gone(ConnectionId which, const Connection& connection, double now) {
+  delegate_.core_connection_changed(server_, which, ConnectionChange::kServerGone);
+  delegate_.close_core(which);
+  for (const std::uint64_t id : connection.in_flight) {
+    const auto entry = in_flight_.find(id);
+    if (entry != in_flight_.end()) add_unconfirmed(entry->second.attempt, id, connection.up_since, now);
+    end_attempt(id, Outcome::kReset, now);
+  }
+}
+
 // A call that was established there without the proxy seeing it has ended with the process and must not be
-// set up again. Attempts are left out if the server sent a line after their release: it had received that.
-void CoreConnections::report_unconfirmed_ended() {
+// set up again. Attempts are left out if the process sent a line after their release: it had received that.
+void CoreConnections::report_unconfirmed_ended(double held_before, double last_line_at) {
+  std::deque<UnconfirmedAttempt> kept;
   for (const UnconfirmedAttempt& each : std::exchange(unconfirmed_attempts_, {})) {
-    if (last_line_at_ < each.since + kReleaseUnconfirmed)
+    if (each.held_since >= held_before) {
+      kept.push_back(each);
+    } else if (last_line_at < each.since + kReleaseUnconfirmed) {
       delegate_.core_unconfirmed_attempt_ended(each.attempt);
+    }
   }
+  unconfirmed_attempts_.insert(unconfirmed_attempts_.begin(), kept.begin(), kept.end());
 }
 
-void CoreConnections::add_unconfirmed(const AttemptId& attempt, std::uint64_t id, double now) {
+void CoreConnections::add_unconfirmed(const AttemptId& attempt, std::uint64_t id, double held_since,
+                                      double now) {
   if (unconfirmed_attempts_.size() >= kMaxUnconfirmedAttempts) unconfirmed_attempts_.pop_front();
-  unconfirmed_attempts_.push_back({attempt, id, now});
+  unconfirmed_attempts_.push_back({attempt, id, now, held_since});
 }
 
 // The server has confirmed that it holds no earlier attempt of the call.
@@ -394,7 +473,7 @@
       if (found->second.splitter.too_long()) close_unreadable(from, "line too long", now);
       return;
     }
-    last_line_at_ = now;
+    last_line_at_ = found->second.last_line_at = now;
     missed_ends_.line_received();
     if (!std::exchange(found->second.line_received, true)) {
       missed_ends_.first_line_received(from, found->second.up_since, now);
@@ -460,7 +539,7 @@
   const AttemptId attempt = in_flight_.at(message.id).attempt;
   connections_.at(from).in_flight.erase(message.id);
   in_flight_.erase(message.id);
-  established_.insert(message.id);
+  established_[message.id] = {connections_.at(from).up_since, false};
   delegate_.core_call_established(attempt, message.description, message.report);
 }
 
@@ -501,8 +580,7 @@
         state_ == ServerEntry::State::kReady ? std::min(kMinConnections, settings_.max_connections) : 1;
     if (active_connections() < target) due = std::min(due, retry_at_);
   }
-  if (unreachable_since_ >= 0) due = std::min(due, last_activity_ + kGoneTimeout);
-  return std::min({due, next_probe_at(), silence_deadline()});
+  return std::min({due, next_probe_at(), next_process_check_at(evidence())});
 }
 
 void CoreConnections::tick(double now) {
@@ -517,9 +595,7 @@
     delegate_.close_core(id);
     remove_connection(id, ConnectionLoss::kNotEstablished, now);
   }
-  if (unreachable_since_ >= 0 && now >= last_activity_ + kGoneTimeout)
-    declare_gone("no connection is established", now);
-  if (now >= silence_deadline()) declare_gone("silent since it left the list or lost its address", now);
+  end_if_gone(now);
   while (!pending_releases_.empty() && pending_releases_.front().expires_at <= now)
     pending_releases_.pop_front();
   close_retired_connections(now);
--- a/src/platform/core_connections.hpp
+++ b/src/platform/core_connections.hpp
@@ -22,6 +22,7 @@
 #include "mintrock/controller.hpp"
 #include "platform/core_codec.hpp"
 #include "platform/missed_end_tracker.hpp"
+#include "platform/process_evidence.hpp"
 
 namespace mintrock::platform {
 
@@ -121,14 +122,13 @@
   // Abandons the set-up in flight of the call, or releases the established call.
   void release_call(std::uint64_t id, double now);
   // Adds a call that its caller reports to be established at this server already.
-  void take_over(std::uint64_t id) {
-    established_.insert(id);
-    missed_ends_.previous_process_had_calls();
-  }
+  void take_over(std::uint64_t id, double now);
 
   // ---- From the server list ----
   // In the state ready, connections are kept open. In any other state, no queued set-up may be sent.
   void set_state(ServerEntry::State state, double now);
+  // A later start of this server was listed than before: what its earlier process held has ended.
+  void restarted(double started_at, double now);
   // The address now belongs to another server: no new connection may be opened to it.
   void address_reassigned(double now);
   void address_restored() { address_reassigned_ = false; }
@@ -161,6 +161,7 @@
     double retired_at = 0;
     double started_at = 0;
     double up_since = 0;
+    double last_line_at = 0;
     LineSplitter splitter;
     std::set<std::uint64_t> in_flight;  // set-ups written and not yet answered
     std::deque<std::uint64_t> queued;   // set-ups to be written once the connection is up
@@ -180,6 +181,13 @@
     AttemptId attempt;
     std::uint64_t id = 0;
     double since = 0;
+    double held_since = 0;  // as in EstablishedCall
+  };
+  struct EstablishedCall {
+    // The process that holds the call was running at this time: its connection came up then, or its caller
+    // reported it a little later.
+    double held_since = 0;
+    bool reported_by_caller = false;
   };
   struct PendingRelease {
     std::uint64_t id = 0;
@@ -188,7 +196,9 @@
 
   Connection& open_connection(double now);
   ConnectionId select_connection(double now);
-  ConnectionId any_usable() const;
+  static ConnectionId first_usable(const std::map<ConnectionId, Connection>& connections);
+  ConnectionId any_usable() const { return first_usable(connections_); }
+  bool is_older(const Connection& connection) const;  // than the listed start
   void handle_message(ConnectionId from, const CoreMessage& message, double now);
   void handle_answer(ConnectionId from, const CoreMessage& message);
   void handle_release(ConnectionId from, const CoreMessage& message, double now);
@@ -208,13 +218,18 @@
   std::size_t active_connections() const;  // connections that are not retired
   double confirmation_deadline(const Connection& connection) const;
   void end_attempt(std::uint64_t id, Outcome outcome, double now);
-  void declare_gone(const char* reason, double now);
-  void add_unconfirmed(const AttemptId& attempt, std::uint64_t id, double now);
+  ProcessEvidence evidence(ConnectionEnd latest_end = ConnectionEnd::kNone) const;
+  // Ends what a process that has ended held. Returns what shows its end.
+  ProcessEnd end_if_gone(double now, ConnectionEnd latest_end = ConnectionEnd::kNone);
+  void end_process(ProcessEnd end, double now);
+  void close_connection_of_gone(ConnectionId which, const Connection& connection, double now);
+  std::map<std::uint64_t, EstablishedCall> take_calls_held_before(double time);
+  std::map<ConnectionId, Connection> take_connections_from_before(double time);
+  void add_unconfirmed(const AttemptId& attempt, std::uint64_t id, double held_since, double now);
   void confirm_attempts_ended(std::uint64_t id);
-  void report_unconfirmed_ended();
+  void report_unconfirmed_ended(double held_before, double last_line_at);
   void note_serving(double now);
   double next_probe_at() const;
-  double silence_deadline() const;
   bool needs_connections() const;
   void maintain_connections(double now);
 
@@ -224,9 +239,10 @@
   CoreCounters& counters_;
   ServerEntry::State state_ = ServerEntry::State::kReady;
   bool address_reassigned_ = false;
+  double restarted_before_ = 0;  // what was held before this time was held by an earlier process; 0: nothing
   std::map<ConnectionId, Connection> connections_;
   std::unordered_map<std::uint64_t, InFlight> in_flight_;
-  std::unordered_set<std::uint64_t> established_;
+  std::unordered_map<std::uint64_t, EstablishedCall> established_;
   std::deque<UnconfirmedAttempt> unconfirmed_attempts_;
   std::deque<PendingRelease> pending_releases_;  // releases that no connection could carry yet
   double last_activity_ = 0;                     // when a connection came up or bytes were received
--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -306,7 +306,7 @@
   CoreConnections* const connections = find_connections(server);
   taken_over_[setup.id] = connections == nullptr ? 0 : server;
   if (connections != nullptr) {
-    connections->take_over(setup.id);
+    connections->take_over(setup.id, loop_.now());
   } else {
     unlisted_.push_back({loop_.now() + kUnlistedTimeout, setup.id, setup.established_server});
   }
@@ -328,7 +328,7 @@
     const bool pending = taken != taken_over_.end() && taken->second == 0;
     if (pending && connections != nullptr) {
       taken->second = server;
-      connections->take_over(it->id);
+      connections->take_over(it->id, now);
     } else if (pending && it->expires_at > now) {
       ++it;
       continue;
@@ -589,7 +589,8 @@
   for (const auto& [id, entry] : server_table_.entries()) {
     if (entry.state == ServerEntry::State::kGone && cores_.count(id) == 0) continue;
     CoreServer& core = cores_[id];
-    if (!core.connections) {
+    const bool listed_before = core.connections != nullptr;
+    if (!listed_before) {
       core.identity = entry.identity;
       try {
         core.address = net::parse_address(entry.address);
@@ -605,6 +606,9 @@
     }
     core.state = entry.state;
     core.connections->set_state(entry.state, now);
+    if (entry.started_at <= core.started_at) continue;
+    core.started_at = entry.started_at;
+    if (listed_before) core.connections->restarted(list::monotonic_start(entry.started_at, now, wall), now);
   }
   // An address belongs to the server that was last listed as ready there.
   for (const list::Entry& entry : event.update.entries) {
--- a/src/platform/platform_edge.hpp
+++ b/src/platform/platform_edge.hpp
@@ -61,6 +61,7 @@
     net::Address address;
     std::string identity;
     ServerEntry::State state = ServerEntry::State::kReady;
+    double started_at = 0;  // the latest start listed, s since the Unix epoch; 0: long ago
     std::unique_ptr<CoreConnections> connections;
   };
   struct CoreStream {
--- /dev/null
+++ b/src/platform/process_evidence.hpp
@@ -0,0 +1,73 @@
+// Decides whether the process of a core server that holds calls has ended.
+//
+// A call depends on the process that holds it, not on that process's address, which another process can take
+// over, nor on its identity, under which a process can come back without its calls. The evidence:
+//
+// | shows the end of the process                     | is outweighed by                                   |
+// | a refused connection                             | a usable connection, and a sign of serving in 5 s  |
+// | connections closed without a line, none for 5 s  | a usable connection                                |
+// | another server at its address, by the list       | a usable connection                                |
+// | a later start at its identity, by the list       | lines since then on a connection from before it    |
+// | connections that aren't established, for 5 s     | a connection or any bytes in that time             |
+// | silence for 5 s after it left list or address    | a line in that time                                |
+//
+// What a process sends itself outweighs what the list tells of it, which is late. Age outweighs a sign of
+// life: 5 s without another one, since the end of a call must be reported to its caller within 8 s.
+//
+// Pure: does no I/O and reads no clock.
+#ifndef MINTROCK_SRC_PLATFORM_PROCESS_EVIDENCE_HPP_
+#define MINTROCK_SRC_PLATFORM_PROCESS_EVIDENCE_HPP_
+
+#include <limits>
+
+namespace mintrock::platform {
+
+// A process that shows no sign of life for this long is taken for gone.
+constexpr double kGoneTimeout = 5.0;  // s
+constexpr double kNever = std::numeric_limits<double>::infinity();
+
+// How the connection that has just been removed ended.
+enum class ConnectionEnd { kNone, kRefused, kClosedWithoutLine, kOther };
+
+// All times are in seconds on the monotonic clock.
+struct ProcessEvidence {
+  // ---- From the server list ----
+  bool left_list = false;
+  bool address_reassigned = false;  // another server was listed as ready at the address
+  bool restarted = false;           // a later start was listed, and calls or connections from before are left
+
+  // ---- From the connections ----
+  ConnectionEnd latest_end = ConnectionEnd::kNone;
+  bool usable_connection = false;  // one is established, and can be written to
+  bool connects_time_out = false;  // none was established since a connection timed out
+  bool established_calls = false;
+  double last_activity_at = 0;  // a connection was established, or bytes were received
+  double last_line_at = 0;
+  double last_serving_at = 0;  // a connection was established, or a state or the end of a call received
+  // The last line that a connection from before the listed start carried since that start; kNever: none.
+  double older_connection_line_at = kNever;
+};
+
+// What shows that the process has ended. kRestarted ends what the process before the listed start held; every
+// other one ends all that the server holds.
+enum class ProcessEnd {
+  kNone,
+  kRefused,
+  kClosesWithoutLine,
+  kAddressReassigned,
+  kRestarted,
+  kUnreachable,
+  kSilent,
+};
+
+ProcessEnd find_process_end(const ProcessEvidence& evidence, double now);
+
+// When the passage of time alone may change the result of find_process_end(); kNever: it does not.
+double next_process_check_at(const ProcessEvidence& evidence);
+
+// For the log.
+const char* name(ProcessEnd end);
+
+}  // namespace mintrock::platform
+
+#endif  // MINTROCK_SRC_PLATFORM_PROCESS_EVIDENCE_HPP_
--- a/tests/platform/core_connections_test.cpp
+++ b/tests/platform/core_connections_test.cpp
@@ -486,7 +486,7 @@
 TEST(CoreConnections, AfterRestartOnlyConnectionStartedAfterFirstLineConfirmsEnds) {
   Fixture f;
   f.establish_all(0);
-  f.connections.take_over(11);
+  f.connections.take_over(11, 0);
   constexpr double first_line_at = 0.15;  // prompt on each connection
   f.connections.tick(0.1);
   for (const ConnectionId each : std::exchange(f.started, {})) f.connections.connected(each, 0.1);
@@ -499,7 +499,7 @@
   f.connections.connected(after, now);
   f.send(after, "release", 11, ",\"cause\":16", now);
   EXPECT_EQ(f.events, std::vector<std::string>{"call ended 11"});
-  f.connections.take_over(12);
+  f.connections.take_over(12, 0);
   f.send_states_until(after, now, now + 5, [] { return false; });
   EXPECT_EQ(f.last_id, after) << "no further connection is needed";
 }
@@ -727,6 +727,90 @@
   EXPECT_TRUE(f.started.empty());
 }
 
+// Review, case 1: a machine was lost for 4 s and came back with a new process. Connections came up in time,
+// and nothing ended the calls of the earlier process.
+TEST(CoreConnections, ListedRestartEndsWhatTheEarlierProcessHeld) {
+  Fixture f;
+  f.establish_call();     // 11, on a connection from before the restart
+  f.set_up(2, 0, 12, 1);  // still without an answer there
+  f.connections.release_call(12, 3);
+  f.set_up(3, 0, 13, 4.5);  // written, and in flight at the restart
+  f.set_up(4, 0, 14, 4.5);
+  const ConnectionId old = f.connection_of(13);
+  f.set_up(5, 0, 15, 4.5);
+  f.establish_all(6);  // accepted by the new process, which started at 5
+  const ConnectionId fresh = f.connection_of(15);
+  ASSERT_GT(fresh, std::max(old, f.connection_of(14)));
+  f.answer(fresh, 15, 6.1);
+  f.events.clear();
+  f.connections.restarted(5, 6.5);
+  EXPECT_EQ(f.events, (std::vector<std::string>{Fixture::attempt_ended(3, 0, Outcome::kReset),
+                                                Fixture::attempt_ended(4, 0, Outcome::kReset), "cut 11",
+                                                "unconfirmed attempt ended 2", "unconfirmed attempt ended 3",
+                                                "unconfirmed attempt ended 4"}));
+  EXPECT_EQ(std::count(f.closed.begin(), f.closed.end(), old), 1);
+  EXPECT_EQ(std::count(f.closed.begin(), f.closed.end(), fresh), 0);
+  EXPECT_EQ(f.connections.established(), 1u) << "the new process holds 15";
+  EXPECT_EQ(f.release_count(11), 0u);
+  f.events.clear();
+  f.connections.tick(7);
+  f.send(fresh, "release", 15, ",\"cause\":16", 8);
+  EXPECT_EQ(f.events, std::vector<std::string>{"call ended 15"});
+}
+
+// The list may be wrong, or the last lines of the earlier process may be read late: a line of that process
+// since the start outweighs the list, until it has been silent for 5 s or its connection is gone.
+TEST(CoreConnections, LinesOnOlderConnectionOutweighListedRestart) {
+  for (const bool closed : {false, true}) {
+    Fixture f;
+    f.establish_call();
+    const ConnectionId on = f.connection_of(11);
+    f.send_state(on, 5.5);
+    f.connections.restarted(5, 6);
+    EXPECT_TRUE(f.events.empty());
+    for (double now = 6; now < 20; now += 0.5) {
+      f.send_state(on, now);
+      f.connections.tick(now);
+    }
+    EXPECT_TRUE(f.events.empty());
+    if (closed) {
+      f.connections.disconnected(on, ConnectionLoss::kClosedByServer, 20);
+      EXPECT_EQ(f.events, std::vector<std::string>{"cut 11"});
+      continue;
+    }
+    f.connections.tick(24.4);
+    EXPECT_TRUE(f.events.empty());
+    EXPECT_LE(f.connections.deadline(), 24.5);
+    f.connections.tick(24.51);
+    EXPECT_EQ(f.events, std::vector<std::string>{"cut 11"});
+  }
+}
+
+// A call that a caller reports may stand at the new process, unless that started after the report or a little
+// before, and was not listed then.
+TEST(CoreConnections, ListedRestartEndsReportedCallsThatTheEarlierProcessHeld) {
+  struct Case {
+    const char* name;
+    double listed_before;  // start that was listed before the report at 10; 0: none
+    double listed_after;   // start that was listed after it; 0: none
+    bool ended;
+  };
+  for (const Case& each : {Case{"started later", 0, 11, true}, Case{"started at the hand-over", 0, 8, true},
+                           Case{"started long before", 0, 4, false}, Case{"listed before", 9, 0, false},
+                           Case{"listed before, started again", 9, 11, true}}) {
+    Fixture f;
+    f.establish_all(0);
+    if (each.listed_before != 0) f.connections.restarted(each.listed_before, 9.5);
+    f.connections.take_over(11, 10);
+    f.connections.tick(10);
+    f.establish_all(12);
+    if (each.listed_after != 0) f.connections.restarted(each.listed_after, 12);
+    f.connections.tick(12);
+    EXPECT_EQ(f.connections.established(), each.ended ? 0u : 1u) << each.name;
+    EXPECT_EQ(f.events.size(), each.ended ? 1u : 0u) << each.name;
+  }
+}
+
 TEST(CoreConnections, TablesAreEmptyAfterChurn) {
   Fixture f;
   f.establish_all(0);
--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -634,6 +634,33 @@
   EXPECT_TRUE(fixture.until([&] { return fixture.edge->servers() == 1; })) << "the old server is forgotten";
 }
 
+// Review, case 1: a core server was lost without a word and came back as a new process, with the same id and
+// address. New connections came up, and the calls of its earlier process were never released.
+TEST(PlatformEdge, CallsOfEarlierProcessEndWhenItsRestartIsListed) {
+  Fixture fixture;
+  Caller caller(fixture.loop, fixture.edge->listening());
+  caller.setup(7);
+  ASSERT_TRUE(fixture.until([&] { return caller.count(9) == 1; }));
+  ASSERT_TRUE(subscribed(fixture, 1));
+  const std::size_t before = fixture.core.streams.size();
+  ASSERT_TRUE(fixture.until([&, end = fixture.loop.now() + 0.15] { return fixture.loop.now() > end; }));
+  json host = serving("s-1", fixture.core);
+  host["born_ms"] = static_cast<std::int64_t>(net::wall_now() * 1000);
+  for (const auto& stream : fixture.core.streams) stream->reset();
+  ASSERT_TRUE(fixture.until([&] { return fixture.core.streams.size() >= before + 2; }));
+  caller.setup(8);  // at the new process
+  ASSERT_TRUE(fixture.until([&] { return caller.count(9) == 2; }));
+  EXPECT_EQ(caller.count(12), 0u);
+  fixture.bus.streams[0]->write(fixture.event(2, json::array({host})));
+  ASSERT_TRUE(fixture.until([&] { return caller.count(12) >= 1; }, 3));
+  EXPECT_EQ(caller.received.back().call, 7u);
+  fixture.bus.streams[0]->write(fixture.event(3, json::array({host})));
+  fixture.core.send(before, R"({"type":"release","id":"0000000000000008","fields":{},"cause":16})");
+  ASSERT_TRUE(fixture.until([&] { return caller.count(12) == 2; }));
+  EXPECT_EQ(caller.received.back().call, 8u);
+  EXPECT_EQ(caller.received.back().cause, 16) << "it stood until its own end";
+}
+
 // A new id is listed at the address of another server, and then the old id there again.
 TEST(PlatformEdge, AddressBelongsToServerListedThereLast) {
   Fixture fixture;
--- /dev/null
+++ b/tests/platform/process_evidence_test.cpp
@@ -0,0 +1,145 @@
+// Tests each kind of evidence of a core server's process, and each pair that contradict each other.
+#include "platform/process_evidence.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace mintrock::platform {
+namespace {
+
+struct Case {
+  std::string name;
+  ProcessEvidence evidence;
+  ProcessEnd expected;
+  double next_check_at;
+};
+
+constexpr double kNow = 100;
+
+// A ready server with a usable connection, a call, and a line a moment ago.
+ProcessEvidence serving() {
+  ProcessEvidence out;
+  out.usable_connection = true;
+  out.established_calls = true;
+  out.last_activity_at = out.last_line_at = out.last_serving_at = kNow - 0.1;
+  return out;
+}
+
+template <typename Change>
+ProcessEvidence serving_but(Change change) {
+  ProcessEvidence out = serving();
+  change(out);
+  return out;
+}
+
+std::vector<Case> cases() {
+  using E = ProcessEvidence&;
+  return {
+      {"serving", serving(), ProcessEnd::kNone, kNever},
+      {"quiet", serving_but([](E e) { e.last_activity_at = e.last_line_at = e.last_serving_at = 1; }),
+       ProcessEnd::kNone, kNever},
+
+      {"refused", serving_but([](E e) {
+         e.latest_end = ConnectionEnd::kRefused;
+         e.usable_connection = false;
+       }),
+       ProcessEnd::kRefused, kNever},
+      {"refused beside a usable connection", serving_but([](E e) { e.latest_end = ConnectionEnd::kRefused; }),
+       ProcessEnd::kNone, kNever},
+      {"refused beside a usable connection, not serving", serving_but([](E e) {
+         e.latest_end = ConnectionEnd::kRefused;
+         e.last_serving_at = kNow - 5;
+       }),
+       ProcessEnd::kRefused, kNever},
+
+      {"closed without a line", serving_but([](E e) {
+         e.latest_end = ConnectionEnd::kClosedWithoutLine;
+         e.usable_connection = false;
+         e.last_line_at = kNow - 5;
+       }),
+       ProcessEnd::kClosesWithoutLine, kNever},
+      {"closed without a line, after a recent one", serving_but([](E e) {
+         e.latest_end = ConnectionEnd::kClosedWithoutLine;
+         e.usable_connection = false;
+       }),
+       ProcessEnd::kNone, kNever},
+      {"closed without a line beside a usable connection", serving_but([](E e) {
+         e.latest_end = ConnectionEnd::kClosedWithoutLine;
+         e.last_line_at = kNow - 5;
+       }),
+       ProcessEnd::kNone, kNever},
+
+      {"address reassigned", serving_but([](E e) {
+         e.address_reassigned = true;
+         e.usable_connection = false;
+       }),
+       ProcessEnd::kAddressReassigned, kNow + 4.9},
+      {"address reassigned, but connections speak", serving_but([](E e) { e.address_reassigned = true; }),
+       ProcessEnd::kNone, kNow + 4.9},
+      {"address reassigned, connections silent", serving_but([](E e) {
+         e.address_reassigned = true;
+         e.last_line_at = kNow - 5;
+       }),
+       ProcessEnd::kSilent, kNow},
+      {"left the list, but speaks", serving_but([](E e) { e.left_list = true; }), ProcessEnd::kNone,
+       kNow + 4.9},
+      {"left the list, silent", serving_but([](E e) {
+         e.left_list = true;
+         e.last_line_at = kNow - 5;
+       }),
+       ProcessEnd::kSilent, kNow},
+      {"left the list, silent, holds nothing", serving_but([](E e) {
+         e.left_list = true;
+         e.established_calls = false;
+         e.last_line_at = kNow - 5;
+       }),
+       ProcessEnd::kNone, kNever},
+
+      {"connections time out", serving_but([](E e) {
+         e.connects_time_out = true;
+         e.last_activity_at = kNow - 5;
+       }),
+       ProcessEnd::kUnreachable, kNow},
+      {"connections time out, but bytes came", serving_but([](E e) { e.connects_time_out = true; }),
+       ProcessEnd::kNone, kNow + 4.9},
+
+      {"restarted", serving_but([](E e) { e.restarted = true; }), ProcessEnd::kRestarted, 0},
+      {"restarted, but an older connection speaks", serving_but([](E e) {
+         e.restarted = true;
+         e.older_connection_line_at = kNow - 0.1;
+       }),
+       ProcessEnd::kNone, kNow + 4.9},
+      {"restarted, and the older connection has become silent", serving_but([](E e) {
+         e.restarted = true;
+         e.older_connection_line_at = kNow - 5;
+       }),
+       ProcessEnd::kRestarted, kNow},
+      {"restarted, then refused: all has ended", serving_but([](E e) {
+         e.restarted = true;
+         e.latest_end = ConnectionEnd::kRefused;
+         e.usable_connection = false;
+       }),
+       ProcessEnd::kRefused, 0},
+  };
+}
+
+TEST(ProcessEvidence, EachContradictionIsDecidedAsDocumented) {
+  for (const Case& each : cases()) {
+    EXPECT_EQ(find_process_end(each.evidence, kNow), each.expected) << each.name;
+    EXPECT_DOUBLE_EQ(next_process_check_at(each.evidence), each.next_check_at) << each.name;
+  }
+}
+
+// A timer that is set to the next check finds the end then, and none a moment before.
+TEST(ProcessEvidence, TheNextCheckIsWhenTimeAloneShowsTheEnd) {
+  for (const Case& each : cases()) {
+    if (each.expected != ProcessEnd::kNone || each.next_check_at == kNever) continue;
+    EXPECT_EQ(find_process_end(each.evidence, each.next_check_at - 0.001), ProcessEnd::kNone) << each.name;
+    EXPECT_NE(find_process_end(each.evidence, each.next_check_at), ProcessEnd::kNone) << each.name;
+  }
+}
+
+}  // namespace
+}  // namespace mintrock::platform
