Calls of a replaced core server end when the list tells who has its address

Callers saw: a proxy restarted while a drained core server was replaced at its address.

Cause: the new server's lines, on connections opened for the old id, counted as the old one's: they made it usable, so that another id at the address ended nothing, and put off the 5 s of silence. Evidence: the log shows those connections up at the address 0.06 s after the start, and the list's event taken 1.48 s after it, with connections to the new id; no core_gone follows.

Change: the start of the server that has the address now ends what was held there before it, as a later start of the same id does. A call named `at` an id is that id's and ends whatever the connections say, unless one from before the start still speaks. Calls set up at the new server under the old id stay.

--- a/src/platform/core_connections.cpp
+++ b/src/platform/core_connections.cpp
@@ -1,6 +1,6 @@
 #include "platform/core_connections.hpp"
 
-#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "platform/causes.hpp"
@@ -195,11 +195,17 @@
   maintain_connections(now);
 }
 
-void CoreConnections::address_reassigned(double now) {
+void CoreConnections::address_reassigned(double started_at, double now) {
   address_reassigned_ = true;
+  if (started_at > 0) address_taken_before_ = started_at - kStartTolerance;
   end_if_gone(now);
 }
 
+void CoreConnections::address_restored() {
+  address_reassigned_ = false;
+  address_taken_before_ = 0;
+}
+
 void CoreConnections::restarted(double started_at, double now) {
   restarted_before_ = started_at - kStartTolerance;
   end_if_gone(now);
@@ -237,8 +243,15 @@
                        : connection.started_at + settings_.connect_timeout_s;
 }
 
-bool CoreConnections::is_older(const Connection& connection) const {
-  return connection.up && connection.up_since < restarted_before_;
+// A call that a caller reports is held by the process with this server's identity, not by another one at its
+// address.
+bool CoreConnections::held_by_earlier_process(const EstablishedCall& call) const {
+  return call.held_since < replaced_before() || (call.reported_by_caller && address_taken_before_ > 0);
+}
+
+// A connection that is not established yet belongs to whichever process accepts it.
+bool CoreConnections::held_by_earlier_process(const Connection& connection) const {
+  return connection.up && connection.up_since < replaced_before();
 }
 
 ProcessEvidence CoreConnections::evidence(ConnectionEnd latest_end) const {
@@ -252,18 +265,18 @@
   out.last_activity_at = last_activity_;
   out.last_line_at = last_line_at_;
   out.last_serving_at = last_serving_at_;
-  if (restarted_before_ == 0) return out;
+  if (replaced_before() <= 0) return out;
   for (const auto& [id, connection] : connections_) {
-    if (!is_older(connection)) continue;
-    out.restarted = true;
+    if (!held_by_earlier_process(connection)) continue;
+    out.replaced = true;
     const double line_at = connection.last_line_at;
     const bool first = out.older_connection_line_at == kNever;
-    if (line_at >= restarted_before_ + kStartTolerance && (first || line_at > out.older_connection_line_at))
+    if (line_at >= replaced_before() + kStartTolerance && (first || line_at > out.older_connection_line_at))
       out.older_connection_line_at = line_at;
   }
-  out.restarted = out.restarted ||
-                  std::any_of(established_.begin(), established_.end(),
-                              [&](const auto& each) { return each.second.held_since < restarted_before_; });
+  out.replaced = out.replaced || std::any_of(established_.begin(), established_.end(), [&](const auto& each) {
+                   return held_by_earlier_process(each.second);
+                 });
   return out;
 }
 
@@ -322,7 +335,7 @@
                                    : lost.up && !lost.line_received ? ConnectionEnd::kClosedWithoutLine
                                                                     : ConnectionEnd::kOther;
   const ProcessEnd end = end_if_gone(now, latest_end);
-  const bool process_gone = end != ProcessEnd::kNone && end != ProcessEnd::kRestarted;
+  const bool process_gone = end != ProcessEnd::kNone && end != ProcessEnd::kReplaced;
   if (!process_gone && refused && now >= last_activity_ + kQuietTimeout) {
     abandon_attempts(now);
   }
@@ -357,41 +370,34 @@
   }
 }
 
-std::map<std::uint64_t, CoreConnections::EstablishedCall> CoreConnections::take_calls_held_before(
-    double time) {
+// Takes out the calls that have ended.
+std::map<std::uint64_t, CoreConnections::EstablishedCall> CoreConnections::take_calls(ProcessEnd end) {
   std::map<std::uint64_t, EstablishedCall> out;
   for (auto it = established_.begin(); it != established_.end();) {
-    if (it->second.held_since >= time) {
-      ++it;
-      continue;
-    }
-    out.insert(*it);
-    it = established_.erase(it);
+    const bool ended = end != ProcessEnd::kReplaced || held_by_earlier_process(it->second);
+    if (ended) out.insert(*it);
+    it = ended ? established_.erase(it) : std::next(it);
   }
   return out;
 }
 
-// A connection that is not established yet belongs to whichever process accepts it.
-std::map<ConnectionId, CoreConnections::Connection> CoreConnections::take_connections_from_before(
-    double time) {
+// Takes out the connections whose process has ended.
+std::map<ConnectionId, CoreConnections::Connection> CoreConnections::take_connections(ProcessEnd end) {
   std::map<ConnectionId, Connection> out;
   for (auto it = connections_.begin(); it != connections_.end();) {
-    const bool older = time == kNever || (it->second.up && it->second.up_since < time);
-    if (older)
-      out.insert(connections_.extract(it++));
-    else
-      ++it;
+    const auto each = it++;
+    if (end != ProcessEnd::kReplaced || held_by_earlier_process(each->second))
+      out.insert(connections_.extract(each));
   }
   return out;
 }
 
 // The process is gone: its calls are cut, releases are pointless, and its connections are closed.
 void CoreConnections::end_process(ProcessEnd end, double now) {
-  const bool replaced = end == ProcessEnd::kRestarted;
-  const double before = replaced ? restarted_before_ : kNever;
-  const auto cut = take_calls_held_before(before);
+  const bool replaced = end == ProcessEnd::kReplaced;
+  const auto cut = take_calls(end);
   if (replaced || !cut.empty() || !idle()) delegate_.core_gone(server_, name(end), cut.size());
-  const auto closed = take_connections_from_before(before);
+  const auto closed = take_connections(end);
   // In case the process is alive after all, it must not keep calls that are reported as ended. If a later
   // process is running, only a call that a caller reported may be held by that.
   const ConnectionId usable = replaced ? any_usable() : first_usable(closed);
@@ -409,7 +415,7 @@
     unreachable_since_ = -1;
   }
   for (const auto& [id, call] : cut) delegate_.core_call_ended(server_, id, true, {});
-  report_unconfirmed_ended(before, last_line_at);
+  report_unconfirmed_ended(replaced ? replaced_before() : kNever, last_line_at);
   // Queued set-ups go last. One can be the next attempt of a call that has just been reported as ended;
   // failed before that report, it would make the call look refused.
   for (const auto& [id, connection] : closed) {
--- a/src/platform/core_connections.hpp
+++ b/src/platform/core_connections.hpp
@@ -8,6 +8,7 @@
 #ifndef MINTROCK_SRC_PLATFORM_CORE_CONNECTIONS_HPP_
 #define MINTROCK_SRC_PLATFORM_CORE_CONNECTIONS_HPP_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -129,9 +130,10 @@
   void set_state(ServerEntry::State state, double now);
   // A later start of this server was listed than before: what its earlier process held has ended.
   void restarted(double started_at, double now);
-  // The address now belongs to another server: no new connection may be opened to it.
-  void address_reassigned(double now);
-  void address_restored() { address_reassigned_ = false; }
+  // The address now belongs to another server, whose process started then (0: unknown): no new connection may
+  // be opened to it.
+  void address_reassigned(double started_at, double now);
+  void address_restored();
 
   // ---- From the I/O layer ----
   void connected(ConnectionId which, double now);
@@ -198,7 +200,10 @@
   ConnectionId select_connection(double now);
   static ConnectionId first_usable(const std::map<ConnectionId, Connection>& connections);
   ConnectionId any_usable() const { return first_usable(connections_); }
-  bool is_older(const Connection& connection) const;  // than the listed start
+  // What was held before this time was held by an earlier process; at most 0: nothing was.
+  double replaced_before() const { return std::max(restarted_before_, address_taken_before_); }
+  bool held_by_earlier_process(const EstablishedCall& call) const;
+  bool held_by_earlier_process(const Connection& connection) const;
   void handle_message(ConnectionId from, const CoreMessage& message, double now);
   void handle_answer(ConnectionId from, const CoreMessage& message);
   void handle_release(ConnectionId from, const CoreMessage& message, double now);
@@ -223,8 +228,8 @@
   ProcessEnd end_if_gone(double now, ConnectionEnd latest_end = ConnectionEnd::kNone);
   void end_process(ProcessEnd end, double now);
   void close_connection_of_gone(ConnectionId which, const Connection& connection, double now);
-  std::map<std::uint64_t, EstablishedCall> take_calls_held_before(double time);
-  std::map<ConnectionId, Connection> take_connections_from_before(double time);
+  std::map<std::uint64_t, EstablishedCall> take_calls(ProcessEnd end);
+  std::map<ConnectionId, Connection> take_connections(ProcessEnd end);
   void add_unconfirmed(const AttemptId& attempt, std::uint64_t id, double held_since, double now);
   void confirm_attempts_ended(std::uint64_t id);
   void report_unconfirmed_ended(double held_before, double last_line_at);
@@ -239,7 +244,8 @@
   CoreCounters& counters_;
   ServerEntry::State state_ = ServerEntry::State::kReady;
   bool address_reassigned_ = false;
-  double restarted_before_ = 0;  // what was held before this time was held by an earlier process; 0: nothing
+  double restarted_before_ = 0;      // by a later start of this server
+  double address_taken_before_ = 0;  // by the start of the server that has the address now
   std::map<ConnectionId, Connection> connections_;
   std::unordered_map<std::uint64_t, InFlight> in_flight_;
   std::unordered_map<std::uint64_t, EstablishedCall> established_;
--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -614,9 +614,10 @@
   for (const list::Entry& entry : event.update.entries) {
     const auto latest = cores_.find(server_table_.id_of(entry.identity));
     if (latest == cores_.end() || entry.state != ServerEntry::State::kReady) continue;
+    const double started_at = list::monotonic_start(entry.started_at, now, wall);
     for (auto& [other, old] : cores_) {
       if (other != latest->first && old.address == latest->second.address)
-        old.connections->address_reassigned(now);
+        old.connections->address_reassigned(started_at, now);
     }
     latest->second.connections->address_restored();
   }
--- a/src/platform/process_evidence.cpp
+++ b/src/platform/process_evidence.cpp
@@ -19,8 +19,8 @@
 
 // A connection from before the listed start has carried a line since: the earlier process lives, or its last
 // lines were read late.
-double restart_check_at(const ProcessEvidence& evidence) {
-  if (!evidence.restarted) return kNever;
+double replacement_check_at(const ProcessEvidence& evidence) {
+  if (!evidence.replaced) return kNever;
   return evidence.older_connection_line_at == kNever ? 0 : evidence.older_connection_line_at + kGoneTimeout;
 }
 
@@ -42,12 +42,12 @@
   if (evidence.address_reassigned && !evidence.usable_connection) return ProcessEnd::kAddressReassigned;
   if (now >= unreachable_at(evidence)) return ProcessEnd::kUnreachable;
   if (now >= silent_at(evidence)) return ProcessEnd::kSilent;
-  if (now >= restart_check_at(evidence)) return ProcessEnd::kRestarted;
+  if (now >= replacement_check_at(evidence)) return ProcessEnd::kReplaced;
   return ProcessEnd::kNone;
 }
 
 double next_process_check_at(const ProcessEvidence& evidence) {
-  return std::min({unreachable_at(evidence), silent_at(evidence), restart_check_at(evidence)});
+  return std::min({unreachable_at(evidence), silent_at(evidence), replacement_check_at(evidence)});
 }
 
 const char* name(ProcessEnd end) {
@@ -60,8 +60,8 @@
       return "closes connections without sending a line";
     case ProcessEnd::kAddressReassigned:
       return "its address belongs to another server";
-    case ProcessEnd::kRestarted:
-      return "a later start is listed";
+    case ProcessEnd::kReplaced:
+      return "a later process is listed";
     case ProcessEnd::kUnreachable:
       return "no connection is established";
     case ProcessEnd::kSilent:
--- a/src/platform/process_evidence.hpp
+++ b/src/platform/process_evidence.hpp
@@ -7,7 +7,7 @@
 // | a refused connection                             | a usable connection, and a sign of serving in 5 s  |
 // | connections closed without a line, none for 5 s  | a usable connection                                |
 // | another server at its address, by the list       | a usable connection                                |
-// | a later start at its identity, by the list       | lines since then on a connection from before it    |
+// | a later start at its identity or address, listed | lines since then on a connection from before it    |
 // | connections that aren't established, for 5 s     | a connection or any bytes in that time             |
 // | silence for 5 s after it left list or address    | a line in that time                                |
 //
@@ -34,7 +34,9 @@
   // ---- From the server list ----
   bool left_list = false;
   bool address_reassigned = false;  // another server was listed as ready at the address
-  bool restarted = false;           // a later start was listed, and calls or connections from before are left
+  // The start of a later process was listed, at the server's identity or under another one at its address,
+  // and calls or connections from before that start are left.
+  bool replaced = false;
 
   // ---- From the connections ----
   ConnectionEnd latest_end = ConnectionEnd::kNone;
@@ -48,14 +50,14 @@
   double older_connection_line_at = kNever;
 };
 
-// What shows that the process has ended. kRestarted ends what the process before the listed start held; every
+// What shows that the process has ended. kReplaced ends what the process before the listed start held; every
 // other one ends all that the server holds.
 enum class ProcessEnd {
   kNone,
   kRefused,
   kClosesWithoutLine,
   kAddressReassigned,
-  kRestarted,
+  kReplaced,
   kUnreachable,
   kSilent,
 };
--- a/tests/platform/core_connections_test.cpp
+++ b/tests/platform/core_connections_test.cpp
@@ -555,7 +555,7 @@
     f.establish_call();
     f.send(1, "state", 0, "", 0.2);
     f.connections.set_state(ServerEntry::State::kGone, 0.5);
-    if (moved) f.connections.address_reassigned(0.5);
+    if (moved) f.connections.address_reassigned(0, 0.5);
     const double now = f.run(
         0.5, 8, [&](ConnectionId each, double at) { f.connections.connected(each, at); },
         [&] { return !f.events.empty(); });
@@ -717,7 +717,7 @@
   Fixture f;
   f.establish_call();
   f.connections.set_state(ServerEntry::State::kGone, 0.2);
-  f.connections.address_reassigned(0.2);
+  f.connections.address_reassigned(0, 0.2);
   EXPECT_TRUE(f.events.empty()) << "its connections are still open";
   f.started.clear();
   f.connections.disconnected(1, ConnectionLoss::kClosedByServer, 0.3);
@@ -786,6 +786,64 @@
   }
 }
 
+// Review, case 2: another server started at the address of one that had stopped, before this process did. Its
+// lines, on the connections opened for the old one, kept the old one's calls.
+TEST(CoreConnections, OtherServersStartAtTheAddressEndsWhatTheOldOneHeld) {
+  struct Case {
+    const char* name;
+    double connected_at;  // of the connections to the address; the other server started at 5
+    double started_at;    // as listed; 0: unknown
+    bool reported;        // by its caller; else set up here
+    bool ended;           // at once when the list tells of the other server
+  };
+  for (const Case& each :
+       {Case{"reported, on the other server's connections", 6, 5, true, true},
+        Case{"reported, on earlier connections", 1, 5, true, true},
+        Case{"set up here, on earlier connections", 1, 5, false, true},
+        Case{"set up here, at the other server under the old identity", 6, 5, false, false},
+        Case{"reported, start unknown", 6, 0, true, false}}) {
+    Fixture f;
+    f.establish_all(each.connected_at);
+    f.send_state(1, each.connected_at);
+    if (each.reported) f.connections.take_over(11, each.connected_at);
+    if (!each.reported) f.set_up(1, 0, 11, each.connected_at);
+    if (!each.reported) f.answer(f.connection_of(11), 11, each.connected_at);
+    f.events.clear();
+    f.connections.set_state(ServerEntry::State::kGone, 7);
+    f.connections.address_reassigned(each.started_at, 7);
+    EXPECT_EQ(f.connections.established(), each.ended ? 0u : 1u) << each.name;
+    EXPECT_EQ(f.events.size(), each.ended ? 1u : 0u) << each.name;
+  }
+}
+
+// The old server may be alive: a drained one that has given up its listener, or a list that is wrong.
+TEST(CoreConnections, OldServerThatSpeaksOutweighsOtherServerAtItsAddress) {
+  Fixture f;
+  f.establish_call();
+  f.send_state(1, 6);
+  f.connections.address_reassigned(5, 7);
+  EXPECT_TRUE(f.events.empty());
+  f.send(1, "release", 11, ",\"cause\":16", 8);
+  EXPECT_EQ(f.events, std::vector<std::string>{"call ended 11"});
+}
+
+// A call is reported after the list has told of the other server, and the old one is listed there again.
+TEST(CoreConnections, CallReportedAtReassignedAddressEndsUnlessTheAddressIsRestored) {
+  for (const bool restored : {false, true}) {
+    Fixture f;
+    f.establish_all(6);
+    f.send_state(1, 6);
+    f.connections.address_reassigned(5, 7);
+    if (restored) f.connections.address_restored();
+    f.connections.take_over(11, 8);
+    if (!restored) {
+      EXPECT_LE(f.connections.deadline(), 8);
+    }
+    f.connections.tick(8);
+    EXPECT_EQ(f.connections.established(), restored ? 1u : 0u) << restored;
+  }
+}
+
 // A call that a caller reports may stand at the new process, unless that started after the report or a little
 // before, and was not listed then.
 TEST(CoreConnections, ListedRestartEndsReportedCallsThatTheEarlierProcessHeld) {
--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -661,6 +661,36 @@
   EXPECT_EQ(caller.received.back().cause, 16) << "it stood until its own end";
 }
 
+// Review, case 2: a drained server had stopped, and another one had started at its address, before this
+// process did. The calls that callers reported at the old one were never released, since the other one's
+// lines on the connections to that address were taken for its own.
+TEST(PlatformEdge, CallsReportedAtReplacedServerEndWhenItsSuccessorIsListed) {
+  Fixture fixture;
+  Caller caller(fixture.loop, fixture.edge->listening());
+  caller.setup(0xaa, "status", "1500", "at:s-1");
+  caller.setup(8);  // the server at the address speaks
+  ASSERT_TRUE(fixture.until([&] { return caller.count(9) == 1; }));
+  ASSERT_TRUE(subscribed(fixture, 1));
+  json successor = serving("s-2", fixture.core);
+  successor["born_ms"] = static_cast<std::int64_t>((net::wall_now() - 2) * 1000);
+  std::uint64_t states = 0;
+  const std::function<void()> speak = [&] {
+    fixture.core.send(0, R"({"type":"state","id":"0000000000000000","fields":{"load":"spare:9;total:9"}})");
+    states += 1;
+    fixture.loop.after(0.1, speak);
+  };
+  speak();
+  fixture.bus.streams[0]->write(
+      fixture.event(2, json::array({{{"host", "s-1"}, {"health", "DELETED"}}, successor})));
+  EXPECT_TRUE(fixture.until([&] { return caller.count(12) >= 1; }, 8));
+  EXPECT_GT(states, 0u);
+  ASSERT_EQ(caller.count(12), 1u) << "call 8 was set up at the successor, under the old id";
+  EXPECT_EQ(caller.received.back().call, 0xaau);
+  fixture.core.send(0, R"({"type":"release","id":"0000000000000008","fields":{},"cause":16})");
+  ASSERT_TRUE(fixture.until([&] { return caller.count(12) == 2; }));
+  EXPECT_EQ(caller.received.back().call, 8u);
+}
+
 // A new id is listed at the address of another server, and then the old id there again.
 TEST(PlatformEdge, AddressBelongsToServerListedThereLast) {
   Fixture fixture;
--- a/tests/platform/process_evidence_test.cpp
+++ b/tests/platform/process_evidence_test.cpp
@@ -105,19 +105,19 @@
       {"connections time out, but bytes came", serving_but([](E e) { e.connects_time_out = true; }),
        ProcessEnd::kNone, kNow + 4.9},
 
-      {"restarted", serving_but([](E e) { e.restarted = true; }), ProcessEnd::kRestarted, 0},
-      {"restarted, but an older connection speaks", serving_but([](E e) {
-         e.restarted = true;
+      {"replaced", serving_but([](E e) { e.replaced = true; }), ProcessEnd::kReplaced, 0},
+      {"replaced, but an older connection speaks", serving_but([](E e) {
+         e.replaced = true;
          e.older_connection_line_at = kNow - 0.1;
        }),
        ProcessEnd::kNone, kNow + 4.9},
-      {"restarted, and the older connection has become silent", serving_but([](E e) {
-         e.restarted = true;
+      {"replaced, and the older connection has become silent", serving_but([](E e) {
+         e.replaced = true;
          e.older_connection_line_at = kNow - 5;
        }),
-       ProcessEnd::kRestarted, kNow},
-      {"restarted, then refused: all has ended", serving_but([](E e) {
-         e.restarted = true;
+       ProcessEnd::kReplaced, kNow},
+      {"replaced, then refused: all has ended", serving_but([](E e) {
+         e.replaced = true;
          e.latest_end = ConnectionEnd::kRefused;
          e.usable_connection = false;
        }),
