Connections that time out together no longer crash the proxy

Change: a connection that is gone by then is left out.

Test: CoreConnections.ConnectionsThatTimeOutTogetherShowVanishedMachineOnce fails under the sanitizers on the commit before, and passes.

--- a/src/platform/core_connections.cpp
+++ b/src/platform/core_connections.cpp
@@ -595,6 +595,7 @@
     if (!connection.up && now >= connection.started_at + settings_.connect_timeout_s) timed_out.push_back(id);
   }
   for (const ConnectionId id : timed_out) {
+    if (connections_.count(id) == 0) continue;  // the one before showed that the server is gone
     counters_.connect_timeouts += 1;
     if (unreachable_since_ < 0) unreachable_since_ = now;
     delegate_.core_connection_changed(server_, id, ConnectionChange::kConnectTimeout);
--- a/tests/platform/core_connections_test.cpp
+++ b/tests/platform/core_connections_test.cpp
@@ -666,6 +666,21 @@
   EXPECT_LT(now, 7.5);
 }
 
+// Bench, zone+mass, trial: the first of two connections that time out together shows that the machine is gone,
+// and closes the other one. The proxy crashed.
+TEST(CoreConnections, ConnectionsThatTimeOutTogetherShowVanishedMachineOnce) {
+  Fixture f;
+  f.establish_call();
+  f.started.clear();
+  f.connections.disconnected(1, ConnectionLoss::kClosedByServer, 0.2);
+  f.connections.disconnected(2, ConnectionLoss::kClosedByServer, 0.2);
+  f.connections.tick(0.5);
+  ASSERT_EQ(f.started.size(), 2u);
+  f.connections.tick(6);
+  EXPECT_EQ(f.events, std::vector<std::string>{"cut 11"});
+  EXPECT_EQ(f.counters.connect_timeouts, 1u);
+}
+
 // A server that hangs still accepts connections: its calls stay established.
 TEST(CoreConnections, QuietServerThatAcceptsConnectionsKeepsItsCalls) {
   Fixture f;
