Ends of calls reach callers on connections that carry no set-up

Callers saw: callers closed the rested connection of their calls and kept another one open, on which one of them had hung up.

Cause: an end went to its call's connection, else to one with a set-up, and one that waited was sent only when a set-up came.

A call named, the release of a call, or an acknowledgement makes it a caller's, as a set-up does. While there are only others, an end is kept and offered on one after another, the tested first, all within a second, eight at most. Log and counters tell sent, offered and kept.

--- a/src/platform/caller_side.cpp
+++ b/src/platform/caller_side.cpp
@@ -5,7 +5,6 @@
 #include <limits>
 #include <tuple>
 #include <utility>
-#include <vector>
 
 namespace mintrock::platform {
 namespace {
@@ -31,6 +30,10 @@
 // An end that was written this shortly before the loss of its connection may not have been read, and is sent
 // again on another one.
 constexpr double kUnacknowledgedWindow = 1.0;  // s
+// An end that no connection is known to carry to its caller is offered on one connection after another; all
+// that matter are tried within the second in which an end must be reported.
+constexpr double kOfferInterval = 0.1;  // s
+constexpr std::size_t kMaxOffers = 8;   // for each end
 constexpr double kNever = std::numeric_limits<double>::infinity();
 
 }  // namespace
@@ -63,7 +66,7 @@
 
 double CallerSide::deadline() const {
   const double ends = pending_ends_.empty() ? kNever : pending_ends_.front().expires_at;
-  return std::min(ends, close_checks_.empty() ? kNever : close_checks_.begin()->first);
+  return std::min({ends, next_offer_at_, close_checks_.empty() ? kNever : close_checks_.begin()->first});
 }
 
 void CallerSide::tick(double now) {
@@ -71,6 +74,7 @@
     pending_ends_.pop_front();
     counters_.ends_dropped += 1;
   }
+  if (now >= next_offer_at_) offer_pending_ends(now);
   while (!close_checks_.empty() && close_checks_.begin()->first <= now) {
     const ConnectionId which = close_checks_.begin()->second;
     if (delay_close(which, now)) continue;
@@ -99,6 +103,8 @@
   Connection& connection = connections_[which];
   connection.opened_at = connection.last_active = now;
   update_close_check(which, connection);
+  // Not at once: a set-up that follows would show whose connection it is.
+  if (!pending_ends_.empty()) next_offer_at_ = std::min(next_offer_at_, now + kOfferInterval);
 }
 
 void CallerSide::received(ConnectionId from, std::string_view bytes, double now) {
@@ -128,44 +134,59 @@
   switch (static_cast<CallerMessageType>(message.type)) {
     case CallerMessageType::kSetup:
       return handle_setup(from, message, now);
-    case CallerMessageType::kRelease: {
-      const auto owner = open_setups_.find(message.call);
-      if (owner != open_setups_.end() && owner->second != from) {
-        return handle_fault(from, message.call, "release of a set-up that is open on another connection");
-      }
-      if (owner != open_setups_.end()) {
-        connection.open_setups.erase(message.call);
-        open_setups_.erase(owner);
-        delegate_.hang_up(message.call);
-        connection.last_active = now;
-        return;
-      }
-      if (delegate_.hang_up(message.call)) {
-        remove_established(message.call, now);
-        delegate_.send_to_caller(from, write_released(message.call));
-        connection.replied = true;
-        connection.last_active = now;
-      }
-      return;  // the call has ended already: its end was sent, or none is pending
-    }
+    case CallerMessageType::kRelease:
+      return handle_release(from, message.call, now);
     case CallerMessageType::kTest:
       delegate_.send_to_caller(from, write_test_result(message.call, true));
       connection.replied = true;
       connection.last_active = now;
-      return;
+      return add_evidence(from, CallerEvidence::kTest, now);
     case CallerMessageType::kProgress:
       return;
     case CallerMessageType::kReleased:
-      connection.unacknowledged_ends.erase(
-          std::remove_if(connection.unacknowledged_ends.begin(), connection.unacknowledged_ends.end(),
-                         [&](const SentEnd& each) { return each.id == message.call; }),
-          connection.unacknowledged_ends.end());
-      return;
+      return handle_acknowledgement(from, message.call, now);
     default:
       return handle_fault(from, message.call, "unknown message type");
   }
 }
 
+void CallerSide::handle_release(ConnectionId from, std::uint64_t id, double now) {
+  Connection& connection = *find(from);
+  const auto owner = open_setups_.find(id);
+  if (owner != open_setups_.end() && owner->second != from) {
+    return handle_fault(from, id, "release of a set-up that is open on another connection");
+  }
+  if (owner != open_setups_.end()) {
+    connection.open_setups.erase(id);
+    open_setups_.erase(owner);
+    delegate_.hang_up(id);
+    connection.last_active = now;
+    return;
+  }
+  if (delegate_.hang_up(id)) {
+    remove_established(id, now);
+    delegate_.send_to_caller(from, write_released(id));
+    connection.replied = true;
+  } else if (!take_pending_end(id)) {
+    return;  // the call has ended already, and its end was sent
+  }
+  connection.last_active = now;
+  add_evidence(from, CallerEvidence::kCall, now);
+}
+
+void CallerSide::handle_acknowledgement(ConnectionId from, std::uint64_t id, double now) {
+  std::deque<SentEnd>& sent = find(from)->unacknowledged_ends;
+  sent.erase(std::remove_if(sent.begin(), sent.end(), [&](const SentEnd& each) { return each.id == id; }),
+             sent.end());
+  const auto end = std::find_if(pending_ends_.begin(), pending_ends_.end(),
+                                [&](const PendingEnd& each) { return each.id == id; });
+  if (end == pending_ends_.end()) return;
+  const std::vector<ConnectionId>& offered_on = end->offered_on;
+  if (std::find(offered_on.begin(), offered_on.end(), from) == offered_on.end()) return;
+  pending_ends_.erase(end);
+  add_evidence(from, CallerEvidence::kCall, now);
+}
+
 void CallerSide::handle_setup(ConnectionId from, const CallerMessage& message, double now) {
   Connection& connection = *find(from);
   const char* error = nullptr;
@@ -191,7 +212,8 @@
       remove_established(id, now);
       return handle_fault(from, id, take_over_error);
     }
-    return accept_setup(from, connection, now);
+    connection.last_active = now;
+    return add_evidence(from, CallerEvidence::kCall, now);
   }
   counters_.setups += 1;
   connection.open_setups.insert(id);
@@ -202,18 +224,42 @@
     if (Connection* current = find(from)) current->open_setups.erase(id);
     return handle_fault(from, id, offer_error);
   }
-  if (Connection* current = find(from)) accept_setup(from, *current, now);
+  Connection* const current = find(from);
+  if (current == nullptr) return;
+  current->last_active = now;
+  add_evidence(from, CallerEvidence::kCall, now);
 }
 
-void CallerSide::accept_setup(ConnectionId which, Connection& connection, double now) {
-  connection.had_setup = true;
-  connection.last_active = now;
+void CallerSide::add_evidence(ConnectionId which, CallerEvidence evidence, double now) {
+  Connection& connection = *find(which);
+  connection.evidence = std::max(connection.evidence, evidence);
+  if (pending_ends_.empty()) return;
+  if (connection.evidence >= CallerEvidence::kCall) return send_pending_ends(which, now);
+  next_offer_at_ = now;
+}
+
+void CallerSide::send_pending_ends(ConnectionId to, double now) {
+  next_offer_at_ = kNever;
   for (const PendingEnd& each : std::exchange(pending_ends_, {})) {
-    send_end(each.id, each.cause, which, now);
-    connection.replied = true;
+    const std::vector<ConnectionId>& offered_on = each.offered_on;
+    if (std::find(offered_on.begin(), offered_on.end(), to) != offered_on.end()) {
+      keep_until_acknowledged(each.id, each.cause, *find(to), now);  // it was written there already
+      continue;
+    }
+    send_end(each.id, each.cause, to, now);
+    find(to)->replied = true;
   }
 }
 
+std::optional<CallerSide::PendingEnd> CallerSide::take_pending_end(std::uint64_t id) {
+  const auto found = std::find_if(pending_ends_.begin(), pending_ends_.end(),
+                                  [&](const PendingEnd& each) { return each.id == id; });
+  if (found == pending_ends_.end()) return {};
+  std::optional<PendingEnd> out = std::move(*found);
+  pending_ends_.erase(found);
+  return out;
+}
+
 void CallerSide::handle_fault(ConnectionId from, std::uint64_t id, const char* error) {
   counters_.faults += 1;
   delegate_.caller_fault(from, error);
@@ -293,7 +339,7 @@
   const ConnectionId to = send_final_answer(id, write_answer(id, description), now);
   Connection* const connection = find(to);
   if (connection == nullptr) return;
-  connection->had_answer = true;
+  connection->evidence = CallerEvidence::kAnswer;
   preferred_for_ends_ = to;
   add_established(id, to, *connection);
   update_close_check(to, *connection);
@@ -341,13 +387,17 @@
   return to;
 }
 
-void CallerSide::send_end(std::uint64_t id, int cause, ConnectionId to, double now) {
-  std::deque<SentEnd>& sent = find(to)->unacknowledged_ends;
+void CallerSide::keep_until_acknowledged(std::uint64_t id, int cause, Connection& connection, double now) {
+  std::deque<SentEnd>& sent = connection.unacknowledged_ends;
   while (!sent.empty() && (sent.front().sent_at + kUnacknowledgedWindow <= now || sent.size() >= kMaxEnds)) {
     sent.pop_front();
   }
   sent.push_back({id, cause, now});
-  delegate_.end_reported(id, to);
+}
+
+void CallerSide::send_end(std::uint64_t id, int cause, ConnectionId to, double now) {
+  keep_until_acknowledged(id, cause, *find(to), now);
+  delegate_.end_reported(id, to, EndDelivery::kSent);
   delegate_.send_to_caller(to, write_release(id, cause));
 }
 
@@ -355,24 +405,66 @@
   const auto found = established_.find(id);
   ConnectionId to = found != established_.end() ? found->second : preferred_for_ends_;
   remove_established(id, now);
+  take_pending_end(id);
   if (to == 0) {
-    std::pair<bool, double> best{false, -1};
+    std::pair<CallerEvidence, double> best{CallerEvidence::kNone, -1};
     for (const auto& [which, connection] : connections_) {
-      const std::pair<bool, double> rank{connection.had_answer, connection.last_active};
-      if (!connection.had_setup || rank <= best) continue;
+      const std::pair<CallerEvidence, double> rank{connection.evidence, connection.last_active};
+      if (connection.evidence < CallerEvidence::kCall || rank <= best) continue;
       best = rank;
       to = which;
     }
-    if (best.first) preferred_for_ends_ = to;  // without an answered set-up it may not belong to a caller
+    // Without an answered set-up it may not belong to a caller.
+    if (best.first == CallerEvidence::kAnswer) preferred_for_ends_ = to;
   }
   if (to != 0) return send_end(id, cause, to, now);
-  delegate_.end_reported(id, 0);
+  queue_end(id, cause, now);
+}
+
+void CallerSide::queue_end(std::uint64_t id, int cause, double now) {
+  delegate_.end_reported(id, 0, EndDelivery::kQueued);
   counters_.ends_queued += 1;
   if (pending_ends_.size() >= kMaxEnds) {
     pending_ends_.pop_front();
     counters_.ends_dropped += 1;
   }
-  pending_ends_.push_back({id, cause, now + kPendingEndLifetime});
+  pending_ends_.push_back({id, cause, now + kPendingEndLifetime, {}});
+  if (offer(pending_ends_.back(), connections_to_offer_on()))
+    next_offer_at_ = std::min(next_offer_at_, now + kOfferInterval);
+}
+
+void CallerSide::offer_pending_ends(double now) {
+  next_offer_at_ = kNever;
+  const std::vector<ConnectionId> candidates = connections_to_offer_on();
+  bool more = false;
+  for (PendingEnd& each : pending_ends_) more = offer(each, candidates) || more;
+  if (more) next_offer_at_ = now + kOfferInterval;
+}
+
+bool CallerSide::offer(PendingEnd& end, const std::vector<ConnectionId>& candidates) {
+  std::vector<ConnectionId>& offered_on = end.offered_on;
+  const auto is_left = [&](ConnectionId each) {
+    return std::find(offered_on.begin(), offered_on.end(), each) == offered_on.end();
+  };
+  const auto next = std::find_if(candidates.begin(), candidates.end(), is_left);
+  if (next == candidates.end() || offered_on.size() >= kMaxOffers) return false;
+  offered_on.push_back(*next);
+  counters_.ends_offered += 1;
+  delegate_.end_reported(end.id, *next, EndDelivery::kOffered);
+  delegate_.send_to_caller(*next, write_release(end.id, end.cause));
+  return offered_on.size() < kMaxOffers && std::any_of(next + 1, candidates.end(), is_left);
+}
+
+// Those that were tested come first, then those without invalid messages, then the latest opened.
+std::vector<ConnectionId> CallerSide::connections_to_offer_on() const {
+  using Rank = std::tuple<CallerEvidence, bool, double, ConnectionId>;
+  std::vector<Rank> ranks;
+  for (const auto& [which, connection] : connections_)
+    ranks.emplace_back(connection.evidence, connection.faults == 0, connection.opened_at, which);
+  std::sort(ranks.begin(), ranks.end(), std::greater<>());
+  std::vector<ConnectionId> out;
+  for (const Rank& each : ranks) out.push_back(std::get<ConnectionId>(each));
+  return out;
 }
 
 }  // namespace mintrock::platform
--- a/src/platform/caller_side.hpp
+++ b/src/platform/caller_side.hpp
@@ -16,6 +16,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "platform/caller_codec.hpp"
 
@@ -26,6 +27,22 @@
 // Why the edge proxy closes a caller's connection.
 enum class CloseReason { kSilent, kIdle, kEvicted, kInvalidMessages, kShutdown };
 
+// What shows that a connection belongs to callers, and not to the platform's front end or a faulty client.
+// The later ones show more. On a connection with kCall or more, the end of any call reaches its caller.
+enum class CallerEvidence {
+  kNone,    // it has carried nothing
+  kTest,    // it has carried a test, which the front end sends too
+  kCall,    // a valid set-up, a release of a call that stood, or the acknowledgement of an end
+  kAnswer,  // a set-up was answered on it
+};
+
+// How the end of a call was passed on.
+enum class EndDelivery {
+  kSent,     // on a connection that belongs to callers
+  kOffered,  // on one that may belong to callers; the end is kept until a caller is known to have it
+  kQueued,   // kept: there is no connection
+};
+
 class CallerSideDelegate {
  public:
   virtual ~CallerSideDelegate() = default;
@@ -46,8 +63,8 @@
   virtual void caller_fault(ConnectionId from, const char* error) = 0;
   // Logs that the caller side closes a connection with this many established calls on it.
   virtual void caller_closed(ConnectionId which, CloseReason reason, std::size_t established) = 0;
-  // Logs that the end of an established call was written to a connection; 0: queued until there is one.
-  virtual void end_reported(std::uint64_t id, ConnectionId to) = 0;
+  // Logs what was done with the end of an established call; `to` is 0 if it was queued.
+  virtual void end_reported(std::uint64_t id, ConnectionId to, EndDelivery delivery) = 0;
 };
 
 struct CallerCounters {
@@ -59,7 +76,9 @@
   std::uint64_t closed_silent = 0;  // closed because no valid message arrived in time
   std::uint64_t closed_idle = 0;
   std::uint64_t evicted = 0;
-  std::uint64_t ends_queued = 0;   // had to wait for a connection
+  std::uint64_t ends_queued = 0;  // had to wait for a connection that belongs to callers
+  std::uint64_t ends_offered =
+      0;  // times that one was sent meanwhile on a connection that may belong to callers
   std::uint64_t ends_dropped = 0;  // discarded without being sent
   std::uint64_t ends_resent = 0;   // sent again because their connection was lost
 };
@@ -89,7 +108,8 @@
   void answer(std::uint64_t id, std::string_view description, double now);
   void refuse(std::uint64_t id, int cause, std::optional<std::uint32_t> retry_after_ms, double now);
   // Reports the end of an established call on the connection that the call came on, else on any connection
-  // that carried a set-up. Without such a connection the end is queued.
+  // that belongs to callers. Without such a connection the end is queued, and meanwhile offered on those that
+  // may belong to callers, one after another.
   void report_end(std::uint64_t id, int cause, double now);
 
   // Number of ends that wait for a connection.
@@ -116,8 +136,7 @@
     double last_active = 0;    // when it last carried a message of a call
     double partial_since = 0;  // when a partly received message began to arrive
     bool replied = false;      // something was sent to its caller, so it is not kept waiting
-    bool had_setup = false;    // carried a valid set-up, so ends of calls may be reported on it
-    bool had_answer = false;   // a set-up was answered on it, so it surely belongs to a caller
+    CallerEvidence evidence = CallerEvidence::kNone;
     std::uint32_t faults = 0;
     std::uint32_t close_delays = 0;  // times that its close was delayed because of unread bytes
     double close_check_at = std::numeric_limits<double>::infinity();  // as in close_checks_
@@ -126,6 +145,7 @@
     std::uint64_t id = 0;
     int cause = 0;
     double expires_at = 0;
+    std::vector<ConnectionId> offered_on;
   };
 
   void handle_message(ConnectionId from, const CallerMessage& message, double now);
@@ -135,6 +155,8 @@
   void close(ConnectionId which, CloseReason reason);
   bool delay_close(ConnectionId which, double now);
   void send_end(std::uint64_t id, int cause, ConnectionId to, double now);
+  // Keeps an end that was written to the connection for as long as it may be lost with it.
+  static void keep_until_acknowledged(std::uint64_t id, int cause, Connection& connection, double now);
   // Removes a connection, abandons its open set-ups and returns its state.
   Connection remove(ConnectionId which);
   // Marks a call as established. Its end is reported on this connection while the connection lasts.
@@ -143,8 +165,19 @@
   // Sends the final answer of an open set-up to its connection and returns it; 0 if no answer is pending.
   ConnectionId send_final_answer(std::uint64_t id, std::string_view bytes, double now);
   Connection* find(ConnectionId which);
-  // Records that the connection carries calls, and reports the pending ends on it.
-  void accept_setup(ConnectionId which, Connection& connection, double now);
+  void handle_release(ConnectionId from, std::uint64_t id, double now);
+  void handle_acknowledgement(ConnectionId from, std::uint64_t id, double now);
+  // Records what the connection has shown. If it belongs to callers, the pending ends are sent on it.
+  void add_evidence(ConnectionId which, CallerEvidence evidence, double now);
+  void send_pending_ends(ConnectionId to, double now);
+  // Forgets the pending end of a call, and returns it.
+  std::optional<PendingEnd> take_pending_end(std::uint64_t id);
+  void queue_end(std::uint64_t id, int cause, double now);
+  // Offers each pending end on the next connection that may belong to callers.
+  void offer_pending_ends(double now);
+  // Offers one end; returns whether connections are left to offer it on.
+  bool offer(PendingEnd& end, const std::vector<ConnectionId>& candidates);
+  std::vector<ConnectionId> connections_to_offer_on() const;
   double compute_close_check(const Connection& connection) const;
   void update_close_check(ConnectionId which, Connection& connection);
 
@@ -158,6 +191,7 @@
   // Where the ends of calls without a connection of their own are reported; 0: not chosen.
   ConnectionId preferred_for_ends_ = 0;
   std::deque<PendingEnd> pending_ends_;
+  double next_offer_at_ = std::numeric_limits<double>::infinity();
   CallerCounters counters_;
 };
 
--- a/src/platform/log_names.cpp
+++ b/src/platform/log_names.cpp
@@ -18,6 +18,18 @@
   return "";
 }
 
+const char* name(EndDelivery delivery) {
+  switch (delivery) {
+    case EndDelivery::kSent:
+      return "sent";
+    case EndDelivery::kOffered:
+      return "offered";
+    case EndDelivery::kQueued:
+      return "kept";
+  }
+  return "";
+}
+
 const char* name(ConnectionChange change) {
   switch (change) {
     case ConnectionChange::kStarted:
--- a/src/platform/log_names.hpp
+++ b/src/platform/log_names.hpp
@@ -9,6 +9,7 @@
 
 namespace mintrock::platform {
 
+const char* name(EndDelivery delivery);
 const char* name(CloseReason reason);
 const char* name(ConnectionChange change);
 const char* name(MessageOwner owner);
--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -367,8 +367,10 @@
              {"standing", std::to_string(established)}});
 }
 
-void PlatformEdge::end_reported(std::uint64_t id, ConnectionId to) {
-  log_event(info, "end_told", {{"call", hex_id(id)}, {"connection", to == 0 ? "" : std::to_string(to)}});
+void PlatformEdge::end_reported(std::uint64_t id, ConnectionId to, EndDelivery delivery) {
+  log_event(
+      info, "end_told",
+      {{"call", hex_id(id)}, {"connection", to == 0 ? "" : std::to_string(to)}, {"detail", name(delivery)}});
 }
 
 // ---- Core servers ----
@@ -664,6 +666,7 @@
              {"caller_faults", text(callers.faults)},
              {"closed_for_room", text(callers.evicted)},
              {"ends_kept", text(callers.ends_queued)},
+             {"ends_offered", text(callers.ends_offered)},
              {"ends_dropped", text(callers.ends_dropped)},
              {"ends_repeated", text(callers.ends_resent)},
              {"core_lost", text(core_counters_.lost)},
--- a/src/platform/platform_edge.hpp
+++ b/src/platform/platform_edge.hpp
@@ -89,7 +89,7 @@
   bool hang_up(std::uint64_t id) override;
   void caller_fault(ConnectionId from, const char* error) override;
   void caller_closed(ConnectionId which, CloseReason reason, std::size_t established) override;
-  void end_reported(std::uint64_t id, ConnectionId to) override;
+  void end_reported(std::uint64_t id, ConnectionId to, EndDelivery delivery) override;
 
   // ---- CoreConnectionsDelegate ----
   ConnectionId connect_core(ServerId server) override;
--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -224,6 +224,31 @@
   EXPECT_EQ(fixture.edge->call_manager().established(), 0u);
 }
 
+// Review, case 3, and soak, seed 601: the callers' side closes the connection of a call and keeps another one
+// open, which has no set-up. The call's end was sent to nobody.
+TEST(PlatformEdge, EndReachesCallersOnTheirOnlyOpenConnection) {
+  enum class Carried { kHangUp, kTest, kNothing };
+  for (const Carried carried : {Carried::kHangUp, Carried::kTest, Carried::kNothing}) {
+    Fixture fixture;
+    Caller first(fixture.loop, fixture.edge->listening());
+    first.setup(7);
+    first.setup(8);
+    ASSERT_TRUE(fixture.until([&] { return first.count(9) == 2; }));
+    Caller second(fixture.loop, fixture.edge->listening());
+    if (carried == Carried::kHangUp) second.stream->write(write_release(8, 16));
+    if (carried == Carried::kTest) second.stream->write(write_message(CallerMessageType::kTest, 1, {}));
+    const std::size_t replies = carried == Carried::kNothing ? 0 : 1;
+    ASSERT_TRUE(fixture.until(
+        [&] { return fixture.edge->callers().connections() == 2 && second.received.size() == replies; }));
+    first.stream->close();
+    ASSERT_TRUE(fixture.until([&] { return fixture.edge->callers().connections() == 1; }));
+    fixture.core.send(0, R"({"type":"release","id":"0000000000000007","fields":{},"cause":16})");
+    const double ended = fixture.loop.now();
+    EXPECT_TRUE(fixture.until([&] { return second.count_of(7) == 1; }, 1.5)) << static_cast<int>(carried);
+    EXPECT_LT(fixture.loop.now() - ended, 1) << static_cast<int>(carried);
+  }
+}
+
 TEST(PlatformEdge, CallersReleaseReachesCoreServer) {
   Fixture fixture;
   Caller caller(fixture.loop, fixture.edge->listening());
