A call named at a removed server depends on what answers at its address

Where the removed server lived, a call that stood was ended.

Cause: a server that left the list was forgotten, and a call named there taken for one at a server that the list has yet to tell: 6 s, whatever became of its process.

Change: servers that left the list are remembered, 512 at most, and a call named at one opens a connection to its address; the one judgement of its process decides. Silence counts from the first connection, not from 0.

--- a/src/list/server_list.cpp
+++ b/src/list/server_list.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <stdexcept>
+#include <utility>
 
 #include "list/json_fields.hpp"
 
@@ -147,6 +148,14 @@
   entries_.erase(found);
 }
 
+ServerId ServerTable::readmit(Entry entry) {
+  const ServerId id = ++last_id_;
+  entry.state = ServerEntry::State::kGone;
+  ids_[entry.identity] = id;
+  entries_[id] = std::move(entry);
+  return id;
+}
+
 ServerList ServerTable::retire_moved_servers(const Update& update) {
   ServerList out;
   out.mode = ServerList::Mode::kDelta;
--- a/src/list/server_list.hpp
+++ b/src/list/server_list.hpp
@@ -57,6 +57,8 @@
   ServerList retire_moved_servers(const Update& update);
   // Removes a server that is gone and no longer in use. Its id is not given again.
   void forget(ServerId server);
+  // Adds a server that was forgotten again, as gone. Returns its new id.
+  ServerId readmit(Entry entry);
 
   const std::map<ServerId, Entry>& entries() const { return entries_; }
   const Entry* find(ServerId server) const;
--- a/src/platform/core_connections.cpp
+++ b/src/platform/core_connections.cpp
@@ -38,7 +38,7 @@
   missed_ends_.connection_started(id);
   Connection& connection = connections_[id];
   connection.started_at = now;
-  if (first_connection_at_ == 0) first_connection_at_ = last_line_at_ = now;  // the silence starts here
+  if (first_connection_at_ == kNever) first_connection_at_ = last_line_at_ = now;  // the silence starts here
   return connection;
 }
 
@@ -262,9 +262,9 @@
   out.usable_connection = any_usable() != 0;
   out.connects_time_out = unreachable_since_ >= 0;
   out.established_calls = !established_.empty();
-  if (last_activity_ != 0) out.last_activity_at = last_activity_;
+  if (heard_) out.last_activity_at = last_activity_;
   out.first_connection_at = first_connection_at_;
-  out.last_line_at = last_line_at_;
+  if (first_connection_at_ != kNever) out.last_line_at = last_line_at_;
   out.last_serving_at = last_serving_at_;
   if (replaced_before() <= 0) return out;
   for (const auto& [id, connection] : connections_) {
@@ -295,6 +295,7 @@
   connection.up = true;
   connection.up_since = now;
   last_activity_ = now;
+  heard_ = true;
   note_serving(now);
   unreachable_since_ = -1;
   retry_delay_ = 0;
--- a/src/platform/core_connections.hpp
+++ b/src/platform/core_connections.hpp
@@ -251,7 +251,8 @@
   std::unordered_map<std::uint64_t, EstablishedCall> established_;
   std::deque<UnconfirmedAttempt> unconfirmed_attempts_;
   std::deque<PendingRelease> pending_releases_;  // releases that no connection could carry yet
-  double first_connection_at_ = 0;               // when the first one was started
+  double first_connection_at_ = kNever;          // when the first one was started
+  bool heard_ = false;                           // a connection has come up
   double last_activity_ = 0;                     // when a connection came up or bytes were received
   // When a line was last received; a connection can come up though no process serves it.
   double last_line_at_ = 0;
--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -302,9 +302,8 @@
   if (taken_over_.size() >= kMaxTakenOver || unlisted_.size() >= kMaxUnlisted) {
     return "too many calls taken over";
   }
-  const ServerId server = server_table_.id_of(setup.established_server);
-  CoreConnections* const connections = find_connections(server);
-  taken_over_[setup.id] = connections == nullptr ? 0 : server;
+  CoreConnections* const connections = find_connections_or_readmit(setup.established_server);
+  taken_over_[setup.id] = connections == nullptr ? 0 : server_table_.id_of(setup.established_server);
   if (connections != nullptr) {
     connections->take_over(setup.id, loop_.now());
   } else {
@@ -586,31 +585,17 @@
       server_table_.to_server_list(
           event.update, event.update.full ? ServerList::Mode::kFull : ServerList::Mode::kDelta, now, wall),
       now);
-  std::size_t listed = 0;
-  for (const auto& [id, entry] : server_table_.entries()) listed += entry.state != ServerEntry::State::kGone;
   for (const auto& [id, entry] : server_table_.entries()) {
-    if (entry.state == ServerEntry::State::kGone && cores_.count(id) == 0) continue;
-    CoreServer& core = cores_[id];
-    const bool listed_before = core.connections != nullptr;
-    if (!listed_before) {
-      core.identity = entry.identity;
-      try {
-        core.address = net::parse_address(entry.address);
-      } catch (const std::exception& error) {
-        log_event(warn, "host_malformed", {{"peer", entry.identity}, {"detail", error.what()}});
-        cores_.erase(id);
-        continue;
-      }
-      core.connections = std::make_unique<CoreConnections>(
-          id,
-          CoreConnections::Settings{config_.connect_timeout_s, budget_.per_server(listed), config_.seed + id},
-          *this, core_counters_);
-    }
-    core.state = entry.state;
-    core.connections->set_state(entry.state, now);
-    if (entry.started_at <= core.started_at) continue;
-    core.started_at = entry.started_at;
-    if (listed_before) core.connections->restarted(list::monotonic_start(entry.started_at, now, wall), now);
+    const auto known = cores_.find(id);
+    const bool listed_before = known != cores_.end();
+    if (entry.state == ServerEntry::State::kGone && !listed_before) continue;
+    CoreServer* const core = listed_before ? &known->second : add_server(id, entry);
+    if (core == nullptr) continue;
+    core->state = entry.state;
+    core->connections->set_state(entry.state, now);
+    if (entry.started_at <= core->started_at) continue;
+    core->started_at = entry.started_at;
+    core->connections->restarted(list::monotonic_start(entry.started_at, now, wall), now);
   }
   // An address belongs to the server that was last listed as ready there.
   for (const list::Entry& entry : event.update.entries) {
@@ -625,7 +610,52 @@
   }
   resolve_unlisted(now);
   remove_departed_servers();
-  log_event(info, "list", {{"revision", std::to_string(event.offset)}, {"servers", std::to_string(listed)}});
+  log_event(info, "list",
+            {{"revision", std::to_string(event.offset)}, {"servers", std::to_string(listed_servers())}});
+}
+
+std::size_t PlatformEdge::listed_servers() const {
+  const auto& entries = server_table_.entries();
+  return static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), [](const auto& each) {
+    return each.second.state != ServerEntry::State::kGone;
+  }));
+}
+
+PlatformEdge::CoreServer* PlatformEdge::add_server(ServerId id, const list::Entry& entry) {
+  CoreServer core;
+  core.identity = entry.identity;
+  core.started_at = entry.started_at;
+  try {
+    core.address = net::parse_address(entry.address);
+  } catch (const std::exception& error) {
+    log_event(warn, "host_malformed", {{"peer", entry.identity}, {"detail", error.what()}});
+    return nullptr;
+  }
+  core.connections = std::make_unique<CoreConnections>(
+      id,
+      CoreConnections::Settings{config_.connect_timeout_s, budget_.per_server(listed_servers()),
+                                config_.seed + id},
+      *this, core_counters_);
+  return &(cores_[id] = std::move(core));
+}
+
+CoreConnections* PlatformEdge::find_connections_or_readmit(const std::string& identity) {
+  if (CoreConnections* const connections = find_connections(server_table_.id_of(identity)))
+    return connections;
+  const std::optional<list::Entry> entry = departed_.take(identity);
+  if (!entry) return nullptr;
+  const ServerId id = server_table_.readmit(*entry);
+  CoreServer* const server = add_server(id, *entry);
+  if (server == nullptr) return nullptr;
+  const double now = loop_.now();
+  server->state = ServerEntry::State::kGone;
+  server->connections->set_state(server->state, now);
+  for (const auto& [other, latest] : cores_) {
+    if (latest.state != ServerEntry::State::kReady || !(latest.address == server->address)) continue;
+    const double started_at = list::monotonic_start(latest.started_at, now, net::wall_now());
+    server->connections->address_reassigned(started_at, now);
+  }
+  return server->connections.get();
 }
 
 // Forgets servers that left the list and hold no calls.
@@ -637,6 +667,7 @@
     }
     // Closes the remaining connections.
     it->second.connections->set_state(ServerEntry::State::kGone, loop_.now());
+    if (const list::Entry* const entry = server_table_.find(it->first)) departed_.add(*entry);
     server_table_.forget(it->first);
     it = cores_.erase(it);
   }
--- a/src/platform/platform_edge.hpp
+++ b/src/platform/platform_edge.hpp
@@ -12,6 +12,7 @@
 
 #include "edge/call_manager.hpp"
 #include "list/client.hpp"
+#include "list/departed_servers.hpp"
 #include "list/event_order.hpp"
 #include "list/server_list.hpp"
 #include "net/loop.hpp"
@@ -122,6 +123,11 @@
   CoreConnections* find_connections(ServerId server);
   std::string identity(ServerId server) const;  // the server's name in the list; empty if unknown
   void remove_departed_servers();
+  std::size_t listed_servers() const;  // that are not gone
+  // Returns null if the entry's address can't be read.
+  CoreServer* add_server(ServerId id, const list::Entry& entry);
+  // Returns the connections to a server, also to one that left the list: calls may stand there.
+  CoreConnections* find_connections_or_readmit(const std::string& identity);
   void log_state();       // periodically
   void schedule_timer();  // sets one timer of the event loop to the earliest deadline of all parts
 
@@ -132,6 +138,7 @@
   edge::CallManager call_manager_;
   CallerSide callers_;
   list::ServerTable server_table_;
+  list::DepartedServers departed_;
   list::EventOrder order_;
   std::map<ServerId, CoreServer> cores_;
   CoreCounters core_counters_;
--- a/src/platform/process_evidence.hpp
+++ b/src/platform/process_evidence.hpp
@@ -49,8 +49,8 @@
   // A connection was established, or bytes were received; kNever: not yet.
   double last_activity_at = kNever;
   double first_connection_at = 0;  // when the first one was started
-  double last_line_at = 0;
-  double last_serving_at = 0;  // a connection was established, or a state or the end of a call received
+  double last_line_at = kNever;    // or when the first connection was started; kNever: none was
+  double last_serving_at = 0;      // a connection was established, or a state or the end of a call received
   // The last line that a connection from before the listed start carried since that start; kNever: none.
   double older_connection_line_at = kNever;
 };
--- a/tests/list/list_test.cpp
+++ b/tests/list/list_test.cpp
@@ -5,6 +5,7 @@
 #include <stdexcept>
 
 #include "list/client.hpp"
+#include "list/departed_servers.hpp"
 #include "list/server_list.hpp"
 #include "list/sse.hpp"
 
@@ -140,5 +141,42 @@
   EXPECT_EQ(accepted, 1);
 }
 
+TEST(DepartedServers, RemembersTheLatestEntryOfEachIdentityWithinItsBound) {
+  DepartedServers departed;
+  const auto entry = [](int number, const char* address) {
+    Entry out;
+    out.identity = "s-" + std::to_string(number);
+    out.address = address;
+    return out;
+  };
+  departed.add(entry(1, "10.0.0.1:1"));
+  departed.add(entry(1, "10.0.0.2:1"));
+  EXPECT_EQ(departed.size(), 1u);
+  EXPECT_EQ(departed.take("s-1")->address, "10.0.0.2:1");
+  EXPECT_FALSE(departed.take("s-1"));
+  for (int number = 1; number <= 1000; ++number) departed.add(entry(number, "10.0.0.1:1"));
+  EXPECT_EQ(departed.size(), DepartedServers::kMaxServers);
+  EXPECT_FALSE(departed.take("s-1"));
+  EXPECT_TRUE(departed.take("s-1000"));
+}
+
+TEST(ServerTable, ReadmittedServerIsGoneUnderANewId) {
+  ServerTable table;
+  Entry entry;
+  entry.identity = "s-1";
+  entry.address = "10.0.0.1:1";
+  table.apply({1, true, {entry}, {}});
+  const ServerId before = table.id_of("s-1");
+  table.forget(before);
+  EXPECT_EQ(table.id_of("s-1"), 0u);
+  const ServerId id = table.readmit(entry);
+  EXPECT_NE(id, before);
+  EXPECT_EQ(table.id_of("s-1"), id);
+  EXPECT_EQ(table.find(id)->state, ServerEntry::State::kGone);
+  table.apply({2, false, {entry}, {}});
+  EXPECT_EQ(table.id_of("s-1"), id);
+  EXPECT_EQ(table.find(id)->state, ServerEntry::State::kReady) << "listed again";
+}
+
 }  // namespace
 }  // namespace mintrock::list
--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -764,6 +764,39 @@
   EXPECT_LT(fixture.loop.now() - started, 8);
 }
 
+// Review, "seen": the list had told the removal of a drained server before callers named their calls there.
+// They waited 6 s for the list to tell of it, too long after the calls' end; one that still stood was ended.
+TEST(PlatformEdge, CallsReportedAtRemovedServerDependOnItsProcess) {
+  enum class Server { kReplaced, kStopped, kAlive };
+  for (const Server server : {Server::kReplaced, Server::kStopped, Server::kAlive}) {
+    Fixture fixture;
+    ASSERT_TRUE(subscribed(fixture, 1));
+    json hosts = json::array({{{"host", "s-1"}, {"health", "DELETED"}}});
+    if (server == Server::kReplaced) {
+      hosts.push_back(serving("s-2", fixture.core));
+      hosts.back()["born_ms"] = static_cast<std::int64_t>((net::wall_now() - 2) * 1000);
+    }
+    fixture.bus.streams[0]->write(fixture.event(2, hosts));
+    const std::size_t left = server == Server::kReplaced ? 1 : 0;
+    ASSERT_TRUE(fixture.until([&] { return fixture.core.streams.size() >= 2 + 2 * left; }));
+    ASSERT_TRUE(fixture.until([&] { return fixture.edge->servers() == left; }));
+    if (server == Server::kStopped) fixture.core.crash();
+    const std::size_t before = fixture.core.streams.size();
+    Caller caller(fixture.loop, fixture.edge->listening());
+    caller.setup(0xaa, "status", "1500", "at:s-1");
+    if (server != Server::kAlive) {
+      EXPECT_TRUE(fixture.until([&] { return caller.count(12) == 1; }, 2)) << static_cast<int>(server);
+      continue;
+    }
+    ASSERT_TRUE(fixture.until([&] { return fixture.core.streams.size() > before; }, 2));
+    EXPECT_EQ(caller.count(12), 0u);
+    fixture.core.send(before, R"({"type":"release","id":"00000000000000aa","fields":{},"cause":16})");
+    EXPECT_TRUE(fixture.until([&] { return caller.count(12) == 1; }, 2));
+    EXPECT_EQ(caller.received.back().cause, 16);
+    EXPECT_TRUE(fixture.until([&] { return fixture.edge->servers() == 0; })) << "forgotten again";
+  }
+}
+
 // ---- Shutdown ----
 
 // Drains the proxy and returns how long it takes until it stops the loop.
--- a/tests/platform/process_evidence_test.cpp
+++ b/tests/platform/process_evidence_test.cpp
@@ -90,6 +90,12 @@
          e.last_line_at = kNow - 5;
        }),
        ProcessEnd::kSilent, kNow},
+      {"left the list, not connected yet", serving_but([](E e) {
+         e.left_list = true;
+         e.usable_connection = false;
+         e.last_line_at = kNever;
+       }),
+       ProcessEnd::kNone, kNever},
       {"left the list, silent, holds nothing", serving_but([](E e) {
          e.left_list = true;
          e.established_calls = false;
