--- a/tests/lab/soak/soak_test.cpp
+++ b/tests/lab/soak/soak_test.cpp
@@ -98,5 +98,9 @@
 // connection as proof that lost ends were delivered.
 INSTANTIATE_TEST_SUITE_P(RestartInASilence, SoakSeed, testing::Values<std::uint64_t>(164));
 
+// Seed 415 ends calls at the very end of a silence, after a connection was begun in it: that must not be taken
+// as proof that no end is missing.
+INSTANTIATE_TEST_SUITE_P(EndOfASilence, SoakSeed, testing::Values<std::uint64_t>(415));
+
 }  // namespace
 }  // namespace mintrock::lab::soak
