--- a/review/stand_ins_2/run-case.sh
+++ b/review/stand_ins_2/run-case.sh
@@ -9,9 +9,11 @@
 fi
 temporary=$(mktemp -d) || exit 2
 trap 'rm -rf "$temporary"' EXIT
-trap 'exit 2' HUP INT TERM
 # The proxies that the program starts end with it.
-timeout -k 2 110 "$program" "$root" "$folder" "$temporary"
+timeout -k 2 110 "$program" "$root" "$folder" "$temporary" &
+child=$!
+trap 'kill "$child" 2>/dev/null; wait "$child"; exit 2' HUP INT TERM
+wait "$child"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
