--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -37,11 +37,11 @@
     after(0.01, [&first, on] { first.make_useless(on); });
     return true;
   };
-  // Other calls, one a second, last 2.5 s each.
+  // Other calls, one a second, last 7.5 s each.
   for (Core* core : {&first, &second}) {
     core->on_stands = [&, core](const std::string& call) {
       if (call == standing || call == spoilt) return;
-      after(2.5, [core, call] {
+      after(7.5, [core, call] {
         if (core->calls.count(call) != 0) core->end(call, 16);
       });
     };
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -15,19 +15,19 @@
 std::vector<std::string> run(const Setting& setting) {
   const std::string ip = own_ip(1);
   Bus bus(ip);
-  Core first("s-00c41f7a", {ip, 0});
-  Core second("s-01d52e8b", {ip, 0});
-  second.block = 1;
+  const auto cores = core_servers(ip, 4);
+  Core& second = *cores[1];
   Edge edge(setting.root, setting.temporary, ip);
   const json site = settings(usual_classes());
-  const json known = bus.known({first.host("SERVING"), second.host("SERVING")});
+  const json known = bus.known(serving(cores));
   edge.start(config(edge, bus, known, site));
   Callers callers(edge.listen);
   callers.admit();
   const int link = callers.connect();
-  for (Core* core : {&first, &second}) {
+  for (const auto& each : cores) {
+    Core* const core = each.get();
     core->on_stands = [core](const std::string& call) {
-      after(2.5, [core, call] {
+      after(7.5, [core, call] {
         if (core->calls.count(call) != 0) core->end(call, 16);
       });
     };
@@ -35,8 +35,8 @@
   std::uint64_t number = 0;
   std::function<void()> calls = [&] {
     const std::uint64_t n = ++number;
-    callers.set_up(link, call_id(n), "dock-status", 3000, "dest:" + std::to_string(n % 2) + ";width:1;via:-1");
-    after(0.2, calls);
+    callers.set_up(link, call_id(n), "dock-status", 3000, "dest:" + std::to_string(n % 4) + ";width:1;via:-1");
+    after(0.1, calls);
   };
   calls();
   Loop::get().run_until(now() + 2);
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,4 +1,4 @@
-// A core server hangs for 6.5 s, and the edge proxy is restarted by SIGTERM meanwhile. When the core server
+// One of twenty core servers hangs for 6.5 s, and one of ten edge proxies is restarted by SIGTERM meanwhile. When the core server
 // goes on, it sends the end of a call that came to its end meanwhile on the call's connection, and again on
 // the next one that was opened. Both go to the proxy that is ending. The call is named to its successor with
 // `at`. Its caller has to be told that it is over.
@@ -14,13 +14,13 @@
 std::vector<std::string> run(const Setting& setting) {
   const std::string ip = own_ip(1);
   Bus bus(ip);
-  Core first("s-00c41f7a", {ip, 0});
-  Core second("s-01d52e8b", {ip, 0});
-  second.block = 1;
+  const auto cores = core_servers(ip, 20);
+  Core& first = *cores[0];
   Edge edge(setting.root, setting.temporary, ip);
-  const json site = settings(usual_classes());
-  const std::vector<json> hosts{first.host("SERVING"), second.host("SERVING")};
+  const json site = settings(usual_classes(), 10);
+  const std::vector<json> hosts= serving(cores);
   edge.start(config(edge, bus, bus.known(hosts), site));
+  const Others others(setting, ip, 9, hosts, site);
   Callers callers(edge.listen);
   const std::string standing = call_id(1);
   const std::string last = call_id(2);  // the last set-up before the proxy ends
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,4 +1,4 @@
-// An edge proxy is killed, and while it is down a core server is lost for 5 s and returns as a new process. The
+// One of two edge proxies is killed, and while it is down one of four core servers is lost for 5 s and returns as a new process. The
 // list that the proxy starts with tells of that start. A call that stood there before is named with `at`. It
 // was cut, and its caller has to be told.
 #include "stand.hpp"
@@ -12,12 +12,12 @@
 std::vector<std::string> run(const Setting& setting) {
   const std::string ip = own_ip(1);
   Bus bus(ip);
-  Core first("s-00c41f7a", {ip, 0});
-  Core second("s-01d52e8b", {ip, 0});
-  second.block = 1;
+  const auto cores = core_servers(ip, 4);
+  Core& first = *cores[0];
   Edge edge(setting.root, setting.temporary, ip);
-  const json site = settings(usual_classes());
-  edge.start(config(edge, bus, bus.known({first.host("SERVING"), second.host("SERVING")}), site));
+  const json site = settings(usual_classes(), 2);
+  edge.start(config(edge, bus, bus.known(serving(cores)), site));
+  const Others others(setting, ip, 1, serving(cores), site);
   Callers callers(edge.listen);
   const std::string standing = call_id(1);
   std::map<std::string, double> told;
@@ -44,7 +44,7 @@
   // The list knows of a start after 0.44 to 2.2 s.
   Loop::get().run_until(now() + 1.0);
 
-  edge.start(config(edge, bus, bus.known({first.host("SERVING"), second.host("SERVING")}), site));
+  edge.start(config(edge, bus, bus.known(serving(cores)), site));
   callers.admit();
   callers.set_up(callers.connect(), standing, "unlock", 3000, "dest:0;width:1;via:-1;at:" + first.id);
   const double handed_over = now();
