The end of an answered call is never sent to its caller a second time

Cause: an end that names no open call was passed to a caller, as one that a former process may owe, unless the call had been over for less than 15 s (kRememberEnded). A core server repeats an end on the next connection that is opened, whenever that is. Ruled out: a second attempt (one "attempt" line), and the caller side sending an end twice.

Change: EndedCalls (pure) has the states of a call that is not open here and decides by what this process knows of the call, not by the age of the end. An end of an unknown call is told while a former process may owe it: the longest deadline of the settings, 8 s at least, after the start; until then every call answered here is known. Read later, it is kept for the caller that names the call with `at`, without a limit of time (it was 15 s: the same fault the other way round). Bounded by the number of calls that the settings allow.

--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -29,8 +29,6 @@
 
 constexpr std::size_t kMaxUnsent = 256 << 10;  // bytes buffered for a peer that doesn't read
 constexpr std::size_t kCallsPerMegabyte = 64;
-constexpr double kRememberEnded = 15.0;  // s for which the id of an ended call is kept
-constexpr std::size_t kMaxRemembered = 8192;
 constexpr std::size_t kMaxTakenOver = 20000;
 
 constexpr double kAcceptAfterDrain = 0.9;  // s after SIGTERM during which new calls are still accepted
@@ -40,6 +38,8 @@
 constexpr double kMaxDrain = 3.0;      // s
 constexpr double kDrainMargin = 0.45;  // s
 
+constexpr double kEndDue = 8.0;  // s from the end of a call until its caller must have been told
+
 // How long a call that its caller reports to be established at an unlisted server is kept: the list update
 // that adds the server may be delayed.
 constexpr double kUnlistedTimeout = 6.0;  // s
@@ -50,6 +50,13 @@
       std::min<std::size_t>(config.max_open_calls, config.memory_mb * kCallsPerMegabyte));
 }
 
+// s for which a caller may wait for its answer.
+double longest_deadline(const Config& config) {
+  double longest = 0;
+  for (const auto& each : config.instance.settings.classes) longest = std::max(longest, each.deadline_s);
+  return longest;
+}
+
 // Returns the server's id in messages between proxies: 48 bits of a hash of its identity, because each proxy
 // has local ids of its own.
 ServerId shared_server_id(const std::string& identity) {
@@ -76,7 +83,8 @@
       budget_(config_.sockets),
       call_manager_(config_.instance.settings, config_.seed, max_calls(config_), *this),
       callers_(*this),
-      order_(config_.list_offset) {}
+      order_(config_.list_offset),
+      ended_calls_(loop.now() + std::max(longest_deadline(config_), kEndDue), max_calls(config_)) {}
 
 PlatformEdge::~PlatformEdge() {
   loop_.timers().cancel(timer_);
@@ -168,7 +176,8 @@
   if (found == calls_.end() || core == cores_.end() || core->second.state != ServerEntry::State::kReady) {
     return edge::SendResult::kNotSent;
   }
-  const Call& call = found->second;
+  Call& call = found->second;
+  call.may_have_run = true;
   log_event(info, "attempt",
             {{"call", hex_id(call.id)}, {"attempt", std::to_string(attempt)}, {"peer", identity(server)}});
   const auto time_left_ms = static_cast<std::uint32_t>(std::max(1.0, std::floor(give_up_after_s * 1000)));
@@ -190,7 +199,7 @@
 void PlatformEdge::forget(CallId id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
-  remember_ended(found->second.id);
+  ended_calls_.close(found->second.id, found->second.may_have_run);
   call_ids_.erase(found->second.id);
   calls_.erase(found);
 }
@@ -294,8 +303,7 @@
 
 const char* PlatformEdge::take_over(const CallSetup& setup) {
   if (call_ids_.count(setup.id) != 0 || taken_over_.count(setup.id) != 0) return nullptr;  // known already
-  if (recently_ended_.count(setup.id) != 0) {
-    // It ended before its caller reported it: the end may have reached nobody.
+  if (ended_calls_.claim(setup.id)) {  // the end may have reached nobody
     callers_.report_end(setup.id, kCauseTemporaryFailure, loop_.now());
     return nullptr;
   }
@@ -338,7 +346,7 @@
   }
   for (const std::uint64_t id : expired) {
     taken_over_.erase(id);
-    remember_ended(id);
+    ended_calls_.close(id, true);
     callers_.report_end(id, kCauseTemporaryFailure, now);
   }
 }
@@ -351,7 +359,7 @@
   if (CoreConnections* const connections = find_connections(taken->second))
     connections->release_call(id, loop_.now());
   taken_over_.erase(taken);
-  remember_ended(id);
+  ended_calls_.close(id, true);
   return true;
 }
 
@@ -481,12 +489,11 @@
   if (taken != taken_over_.end()) {
     if (taken->second != server && taken->second != 0) return;
     taken_over_.erase(taken);
-  } else if (recently_ended_.count(id) != 0) {
-    return;
+    ended_calls_.close(id, true);
+    callers_.report_end(id, cause, now);
+  } else if (ended_calls_.handle_end(id, now)) {
+    callers_.report_end(id, cause, now);
   }
-  // The call was taken over, or belongs to the previous process: its caller is notified.
-  remember_ended(id);
-  callers_.report_end(id, cause, now);
 }
 
 void PlatformEdge::core_load_reported(ServerId server, const Report& report) {
@@ -524,19 +531,6 @@
              {"owner", name(owner)}});
 }
 
-void PlatformEdge::remember_ended(std::uint64_t id) {
-  const double now = loop_.now();
-  while (!recently_ended_order_.empty() &&
-         (recently_ended_order_.front().first <= now || recently_ended_order_.size() >= kMaxRemembered)) {
-    const auto [until, old] = recently_ended_order_.front();
-    recently_ended_order_.pop_front();
-    const auto found = recently_ended_.find(old);
-    if (found != recently_ended_.end() && found->second == until) recently_ended_.erase(found);
-  }
-  recently_ended_order_.emplace_back(now + kRememberEnded, id);
-  recently_ended_[id] = now + kRememberEnded;
-}
-
 // ---- The server list ----
 
 void PlatformEdge::open_bus() {
@@ -762,11 +756,9 @@
 void PlatformEdge::drain() {
   if (draining_) return;
   draining_ = true;
-  double longest_deadline = 0;
-  for (const auto& each : config_.instance.settings.classes)
-    longest_deadline = std::max(longest_deadline, each.deadline_s);
   accept_until_ = loop_.now() + kAcceptAfterDrain;
-  drain_until_ = std::max(accept_until_, loop_.now() + std::min(kMaxDrain, longest_deadline) + kDrainMargin);
+  drain_until_ =
+      std::max(accept_until_, loop_.now() + std::min(kMaxDrain, longest_deadline(config_)) + kDrainMargin);
   log_event(info, "draining", {{"open", std::to_string(call_manager_.pending())}});
   continue_drain();
 }
--- a/src/platform/platform_edge.hpp
+++ b/src/platform/platform_edge.hpp
@@ -19,6 +19,7 @@
 #include "platform/caller_side.hpp"
 #include "platform/config.hpp"
 #include "platform/core_connections.hpp"
+#include "platform/ended_calls.hpp"
 
 namespace mintrock::platform {
 
@@ -57,6 +58,7 @@
     std::string answer;            // the core server's description
     int end_cause = kCauseNormal;  // of the end of the established call
     ServerId server = 0;           // where the call is established; 0: not yet
+    bool may_have_run = false;     // an attempt was sent to a core server
   };
   struct CoreServer {
     net::Address address;
@@ -117,7 +119,6 @@
   void open_bus();
   void try_reload(int tries_left);
   void continue_drain();
-  void remember_ended(std::uint64_t id);
   void resolve_unlisted(double now);
   double unlisted_deadline() const;
   CoreConnections* find_connections(ServerId server);
@@ -155,9 +156,7 @@
     std::string identity;
   };
   std::deque<Unlisted> unlisted_;
-  // Ids of calls that ended recently: late messages about them are ignored.
-  std::deque<std::pair<double, std::uint64_t>> recently_ended_order_;
-  std::unordered_map<std::uint64_t, double> recently_ended_;
+  EndedCalls ended_calls_;
   std::unique_ptr<net::Listener> listener_;
   std::unique_ptr<net::DatagramSocket> datagrams_;
   std::unique_ptr<list::Client> bus_;
--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -514,6 +514,31 @@
   EXPECT_TRUE(fixture.until([&] { return fixture.core.count("release") == 1; }));
 }
 
+// Review, case 10: the end of a call that had been refused was repeated 17 s later, on another connection, and
+// sent to its caller.
+TEST(PlatformEdge, EndThatIsRepeatedLateIsNotASecondFinalAnswer) {
+  Fixture fixture;
+  std::size_t used = 0;
+  fixture.core.reply = [&](std::size_t index, const std::string&) { used = index; };  // and never answers
+  Caller caller(fixture.loop, fixture.edge->listening());
+  caller.setup(1, "status", "300");
+  ASSERT_TRUE(fixture.until([&] { return caller.count_of(1) == 1; }));
+  EXPECT_EQ(caller.received.back().type, 12);
+  const double answered = fixture.loop.now();
+  fixture.until([&] { return fixture.loop.now() > answered + 15.5; }, 20);
+  ASSERT_LE(used, 1u);
+  fixture.core.reply = [&](std::size_t index, const std::string& id) { fixture.core.answer(index, id); };
+  Caller next(fixture.loop, fixture.edge->listening());
+  next.setup(2);
+  ASSERT_TRUE(fixture.until([&] { return next.count(9) == 1; }));
+  next.stream->write(write_release(2, 16));
+  ASSERT_TRUE(fixture.until([&] { return next.count(16) == 1; }));
+  fixture.core.send(1 - used, R"({"type":"release","id":"0000000000000001","fields":{},"cause":16})");
+  next.setup(3);
+  ASSERT_TRUE(fixture.until([&] { return next.count(9) == 2; }));
+  EXPECT_EQ(caller.count_of(1) + next.count_of(1), 1u);
+}
+
 // The proxy's counters of calls, attempts and established calls match the traffic on the sockets: answers,
 // refusals, malformed lines, duplicates and cuts in turn.
 TEST(PlatformEdge, CountersMatchTraffic) {
