A connection that owes an answer is doubted, and what was owed on it is asked for

Cause: nothing judged a single connection. An answer stopped short on one of two, which stayed open. A set-up that is given up left the connection idle, so that select_connection() preferred it; any_usable() sent releases there; the probes and MissedEndTracker ask whether the server is silent, and it spoke on the other one every 0.5 s. Ruled out: silence of the server; an end that came and was not passed on.

Change: ConnectionHealth (pure; new, proven, doubted, with its table) judges a connection by what it has carried; connection_choice (pure) gives one answer to what may go where. A doubted one gets set-ups last, is usable for nothing, is replaced and retired, and what was released on it is released on another. Calls whose ends the server may write there make a new connection due every 4 s until they are over.

OnlyPromptConnectionStartedAfterLossConfirmsEnds kept two connections silent with set-ups on them while the server spoke elsewhere, now a doubt of its own; they carry the state, its checks are unchanged.

--- a/src/platform/core_connections.cpp
+++ b/src/platform/core_connections.cpp
@@ -8,9 +8,6 @@
 namespace mintrock::platform {
 namespace {
 
-// Connections kept open to a ready server: it sends the state of its trunk group on them. At most as many
-// retired ones are kept.
-constexpr std::size_t kMinConnections = 2;
 // Delay until a lost connection is reopened; doubles up to the maximum.
 constexpr double kInitialRetryDelay = 0.1;  // s
 constexpr double kMaxRetryDelay = 1.0;      // s
@@ -19,10 +16,7 @@
 constexpr double kPendingReleaseTtl = 30.0;  // s; by then the call has ended at the server by itself
 constexpr std::size_t kMaxPendingReleases = 4096;
 constexpr std::size_t kMaxAbandoned = 1024;  // ids of abandoned attempts that one connection remembers
-// A release that was written to a connection shortly before its loss may not have arrived: it is sent again.
-constexpr double kReleaseUnconfirmed = 1.0;  // s
 constexpr std::size_t kMaxSentReleases = 256;
-constexpr std::size_t kMaxUnconfirmedAttempts = 256;
 // A process may accept connections this shortly before the start that the list tells of it.
 constexpr double kStartTolerance = 0.1;  // s
 // A call that its caller reports was established at most this long before, unless the proxy that set it up
@@ -35,45 +29,24 @@
   const ConnectionId id = delegate_.connect_core(server_);
   counters_.connections += 1;
   delegate_.core_connection_changed(server_, id, ConnectionChange::kStarted);
-  missed_ends_.connection_started(id);
+  missed_ends_.connection_started(id, now);
   Connection& connection = connections_[id];
   connection.started_at = now;
   if (first_connection_at_ == kNever) first_connection_at_ = last_line_at_ = now;  // the silence starts here
   return connection;
 }
 
-// Returns an idle connection, else a new one, else the one with the fewest set-ups; 0 if there is none.
 ConnectionId CoreConnections::select_connection(double now) {
-  ConnectionId best = 0;
-  std::size_t fewest = 0;
-  for (const auto& [id, connection] : connections_) {
-    if (connection.retired) continue;
-    const std::size_t load = connection.in_flight.size() + connection.queued.size() + (connection.up ? 0 : 1);
-    if (best == 0 || load < fewest) {
-      best = id;
-      fewest = load;
-    }
-  }
-  if (best != 0 && (fewest == 0 || active_connections() >= settings_.max_connections)) return best;
-  if (address_reassigned_) return best;
+  const SetupChoice choice = choose_for_setup(connections_);
+  const bool may_open = !address_reassigned_ && may_open_connection(connections_, settings_.max_connections);
+  if (choice.idle || (choice.connection != 0 && !may_open)) return choice.connection;
+  if (address_reassigned_) return 0;
   open_connection(now);
   return connections_.rbegin()->first;
 }
 
-ConnectionId CoreConnections::first_usable(const std::map<ConnectionId, Connection>& connections) {
-  for (const auto& [id, connection] : connections) {
-    if (connection.up && !connection.retired) return id;
-  }
-  return 0;
-}
-
-std::size_t CoreConnections::active_connections() const {
-  std::size_t count = 0;
-  for (const auto& [id, connection] : connections_) count += !connection.retired;
-  return count;
-}
-
 void CoreConnections::set_up(const AttemptId& attempt, std::uint64_t id, std::string message, double now) {
+  review_connections(now);
   const ConnectionId on = select_connection(now);
   if (on == 0) return delegate_.core_attempt_ended(attempt, Outcome::kConnectFailed, Cause::kNone, 0, {});
   Connection& connection = connections_[on];
@@ -84,6 +57,7 @@
   connection.abandoned.erase(id);
   if (connection.up) {
     connection.in_flight.insert(id);
+    connection.health.setup_written(now);
     delegate_.send_to_core(on, entry.message);
     entry.message.clear();
   } else {
@@ -121,7 +95,7 @@
 void CoreConnections::release_call(std::uint64_t id, double now) {
   const auto found = in_flight_.find(id);
   if (found == in_flight_.end()) {
-    if (established_.erase(id) != 0) send_or_queue_release(id, 0, now);
+    if (remove_established(id)) send_or_queue_release(id, 0, now);
     return;
   }
   const ConnectionId on = found->second.connection;
@@ -131,7 +105,7 @@
   const auto connection = connections_.find(on);
   if (written) {
     const double held_since = connection == connections_.end() ? now : connection->second.up_since;
-    add_unconfirmed(found->second.attempt, id, held_since, now);
+    unconfirmed_attempts_.add(found->second.attempt, id, held_since, now);
   }
   in_flight_.erase(found);
   if (!written) {
@@ -142,10 +116,18 @@
   }
   if (connection == connections_.end()) return send_or_queue_release(id, 0, now);
   connection->second.in_flight.erase(id);
+  connection->second.health.setup_given_up();
   std::unordered_set<std::uint64_t>& abandoned = connection->second.abandoned;
   if (abandoned.size() >= kMaxAbandoned) abandoned.clear();
   abandoned.insert(id);
   send_or_queue_release(id, on, now);
+  // A release on a doubted connection may not arrive.
+  if (connection->second.health.is_doubted()) send_or_queue_release(id, 0, now);
+}
+
+bool CoreConnections::remove_established(std::uint64_t id) {
+  missed_ends_.call_safe(id);
+  return established_.erase(id) != 0;
 }
 
 void CoreConnections::end_attempt(std::uint64_t id, Outcome outcome, double) {
@@ -164,8 +146,8 @@
 void CoreConnections::maintain_connections(double now) {
   const std::size_t target =
       state_ == ServerEntry::State::kReady ? std::min(kMinConnections, settings_.max_connections) : 1;
-  if (!needs_connections() || active_connections() >= target || now < retry_at_) return;
-  while (active_connections() < target) open_connection(now);
+  if (!needs_connections() || count_active(connections_) >= target || now < retry_at_) return;
+  while (count_active(connections_) < target) open_connection(now);
   retry_delay_ = retry_delay_ == 0 ? kInitialRetryDelay : std::min(2 * retry_delay_, kMaxRetryDelay);
   // Jitter, so that proxies that lost their connections at the same time don't reconnect together.
   constexpr double kMinShare = 0.5;  // share of the delay
@@ -233,13 +215,14 @@
 double CoreConnections::next_probe_at() const {
   if (idle() || address_reassigned_) return kNever;
   if (refused_) return retry_at_;
+  const double renewal_at = std::max(missed_ends_.next_renewal_at(), retry_at_);
   if (!missed_ends_.needs_new_connection() || established_.empty())
-    return std::max(last_activity_ + kQuietTimeout, retry_at_);
+    return std::min(renewal_at, std::max(last_activity_ + kQuietTimeout, retry_at_));
   double due = retry_at_;
   for (const auto& [id, connection] : connections_) {
     if (missed_ends_.can_confirm(id)) due = std::max(due, confirmation_deadline(connection));
   }
-  return due;
+  return std::min(due, renewal_at);
 }
 
 // The time until which the connection may still come up or deliver its first line.
@@ -312,6 +295,7 @@
     const auto entry = in_flight_.find(id);
     if (entry == in_flight_.end()) continue;
     connection.in_flight.insert(id);
+    connection.health.setup_written(now);
     entry->second.written = true;
     delegate_.send_to_core(which, entry->second.message);
     entry->second.message.clear();
@@ -333,16 +317,17 @@
   const auto found = connections_.find(which);
   const Connection lost = std::move(found->second);
   connections_.erase(found);
+  if (loss == ConnectionLoss::kClosedByServer) mark_calls(which, false);  // it sends their ends on others
   for (const std::uint64_t id : lost.in_flight) {
     const auto entry = in_flight_.find(id);
-    if (entry != in_flight_.end()) add_unconfirmed(entry->second.attempt, id, lost.up_since, now);
+    if (entry != in_flight_.end()) unconfirmed_attempts_.add(entry->second.attempt, id, lost.up_since, now);
   }
   // A retired connection loses no end: the server saw the half-close and wrote all it had before it closed.
   if (!lost.retired || loss == ConnectionLoss::kUnreadable) missed_ends_.suspect_loss();
   refused_ = refused_ || refused;
-  const ConnectionEnd latest_end = refused                          ? ConnectionEnd::kRefused
-                                   : lost.up && !lost.line_received ? ConnectionEnd::kClosedWithoutLine
-                                                                    : ConnectionEnd::kOther;
+  const ConnectionEnd latest_end = refused                           ? ConnectionEnd::kRefused
+                                   : lost.up && !lost.health.heard() ? ConnectionEnd::kClosedWithoutLine
+                                                                     : ConnectionEnd::kOther;
   const ProcessEnd end = end_if_gone(now, latest_end);
   const bool process_gone = end != ProcessEnd::kNone && end != ProcessEnd::kReplaced;
   if (!process_gone && refused && now >= last_activity_ + kQuietTimeout) {
@@ -385,14 +370,15 @@
   for (auto it = established_.begin(); it != established_.end();) {
     const bool ended = end != ProcessEnd::kReplaced || held_by_earlier_process(it->second);
     if (ended) out.insert(*it);
+    if (ended) missed_ends_.call_safe(it->first);
     it = ended ? established_.erase(it) : std::next(it);
   }
   return out;
 }
 
 // Takes out the connections whose process has ended.
-std::map<ConnectionId, CoreConnections::Connection> CoreConnections::take_connections(ProcessEnd end) {
-  std::map<ConnectionId, Connection> out;
+CoreConnectionMap CoreConnections::take_connections(ProcessEnd end) {
+  CoreConnectionMap out;
   for (auto it = connections_.begin(); it != connections_.end();) {
     const auto each = it++;
     if (end != ProcessEnd::kReplaced || held_by_earlier_process(each->second))
@@ -437,36 +423,17 @@
   delegate_.close_core(which);
   for (const std::uint64_t id : connection.in_flight) {
     const auto entry = in_flight_.find(id);
-    if (entry != in_flight_.end()) add_unconfirmed(entry->second.attempt, id, connection.up_since, now);
+    if (entry != in_flight_.end())
+      unconfirmed_attempts_.add(entry->second.attempt, id, connection.up_since, now);
     end_attempt(id, Outcome::kReset, now);
   }
 }
 
 // A call that was established there without the proxy seeing it has ended with the process and must not be
-// set up again. Attempts are left out if the process sent a line after their release: it had received that.
+// set up again.
 void CoreConnections::report_unconfirmed_ended(double held_before, double last_line_at) {
-  std::deque<UnconfirmedAttempt> kept;
-  for (const UnconfirmedAttempt& each : std::exchange(unconfirmed_attempts_, {})) {
-    if (each.held_since >= held_before) {
-      kept.push_back(each);
-    } else if (last_line_at < each.since + kReleaseUnconfirmed) {
-      delegate_.core_unconfirmed_attempt_ended(each.attempt);
-    }
-  }
-  unconfirmed_attempts_.insert(unconfirmed_attempts_.begin(), kept.begin(), kept.end());
-}
-
-void CoreConnections::add_unconfirmed(const AttemptId& attempt, std::uint64_t id, double held_since,
-                                      double now) {
-  if (unconfirmed_attempts_.size() >= kMaxUnconfirmedAttempts) unconfirmed_attempts_.pop_front();
-  unconfirmed_attempts_.push_back({attempt, id, now, held_since});
-}
-
-// The server has confirmed that it holds no earlier attempt of the call.
-void CoreConnections::confirm_attempts_ended(std::uint64_t id) {
-  unconfirmed_attempts_.erase(std::remove_if(unconfirmed_attempts_.begin(), unconfirmed_attempts_.end(),
-                                             [id](const UnconfirmedAttempt& each) { return each.id == id; }),
-                              unconfirmed_attempts_.end());
+  for (const AttemptId& each : unconfirmed_attempts_.take_ended(held_before, last_line_at))
+    delegate_.core_unconfirmed_attempt_ended(each);
 }
 
 void CoreConnections::close_unreadable(ConnectionId which, const char* error, double now) {
@@ -490,9 +457,10 @@
     }
     last_line_at_ = found->second.last_line_at = now;
     missed_ends_.line_received();
-    if (!std::exchange(found->second.line_received, true)) {
-      missed_ends_.first_line_received(from, found->second.up_since, now);
-    }
+    ConnectionHealth& health = found->second.health;
+    if (!health.heard()) missed_ends_.first_line_received(from, found->second.up_since, now);
+    if (health.is_doubted() && !found->second.retired) mark_calls(from, false);
+    health.line_received(now);
     const char* error = nullptr;
     const auto message = read_core_message(*line, error);
     if (!message) return close_unreadable(from, error, now);
@@ -518,7 +486,7 @@
     case Type::kTestResult:
       return;
     case Type::kReleased: {
-      confirm_attempts_ended(message.id);
+      unconfirmed_attempts_.confirm_ended(message.id);
       std::deque<SentRelease>& sent_releases = connections_.at(from).sent_releases;
       const auto acknowledged = std::find_if(sent_releases.begin(), sent_releases.end(),
                                              [&](const SentRelease& each) { return each.id == message.id; });
@@ -552,9 +520,11 @@
       break;
   }
   const AttemptId attempt = in_flight_.at(message.id).attempt;
-  connections_.at(from).in_flight.erase(message.id);
+  Connection& connection = connections_.at(from);
+  connection.in_flight.erase(message.id);
+  connection.health.setup_answered();
   in_flight_.erase(message.id);
-  established_[message.id] = {connections_.at(from).up_since, false};
+  established_[message.id] = {connection.up_since, false, from};
   delegate_.core_call_established(attempt, message.description, message.report);
 }
 
@@ -565,13 +535,14 @@
   if (owner == MessageOwner::kAttempt) {
     const AttemptId attempt = in_flight_.at(message.id).attempt;
     connection.in_flight.erase(message.id);
+    connection.health.setup_answered();
     in_flight_.erase(message.id);
     const AttemptResult result = result_before_answer(message.cause, message.note);
     if (result.outcome == Outcome::kReset) send_or_queue_release(message.id, from, now);
     return delegate_.core_attempt_ended(attempt, result.outcome, result.cause, message.waited_s,
                                         message.report);
   }
-  confirm_attempts_ended(message.id);
+  unconfirmed_attempts_.confirm_ended(message.id);
   connection.abandoned.erase(message.id);
   const bool ended = message.cause == kCauseNormal;
   // The release refers to an earlier attempt of a call that is in flight at this server again: only its
@@ -580,7 +551,7 @@
     return delegate_.core_load_reported(server_, message.report);
   }
   note_serving(now);
-  established_.erase(message.id);
+  remove_established(message.id);
   delegate_.core_call_ended(server_, message.id, !ended, message.report);
 }
 
@@ -589,11 +560,12 @@
   for (const auto& [id, connection] : connections_) {
     if (!connection.up) due = std::min(due, connection.started_at + settings_.connect_timeout_s);
     if (connection.retired) due = std::min(due, connection.retired_at + kGoneTimeout);
+    if (connection.up && !connection.retired) due = std::min(due, next_review_at(connection));
   }
   if (needs_connections()) {
     const std::size_t target =
         state_ == ServerEntry::State::kReady ? std::min(kMinConnections, settings_.max_connections) : 1;
-    if (active_connections() < target) due = std::min(due, retry_at_);
+    if (count_active(connections_) < target) due = std::min(due, retry_at_);
   }
   return std::min({due, next_probe_at(), next_process_check_at(evidence())});
 }
@@ -614,41 +586,65 @@
   end_if_gone(now);
   while (!pending_releases_.empty() && pending_releases_.front().expires_at <= now)
     pending_releases_.pop_front();
+  review_connections(now);
   close_retired_connections(now);
   maintain_connections(now);
   if (now < next_probe_at()) return;
   // A new connection shows whether the server is alive, and makes it send its group's state and lost ends.
-  if (now >= last_activity_ + kQuietTimeout) missed_ends_.suspect_loss();
-  if (active_connections() >= std::min(kMinConnections, settings_.max_connections))
-    retire_idle_connection(now);
-  if (active_connections() < settings_.max_connections) open_connection(now);
+  if (now >= last_activity_ + kQuietTimeout || now >= missed_ends_.next_renewal_at())
+    missed_ends_.suspect_loss();
+  if (count_active(connections_) >= std::min(kMinConnections, settings_.max_connections))
+    retire(choose_to_retire(connections_), now);
+  if (may_open_connection(connections_, settings_.max_connections)) open_connection(now);
   retry_at_ = now + kMaxRetryDelay;
 }
 
-// Half-closes one connection that has no set-ups and has carried a line; what the server still sends on it is
-// read.
-void CoreConnections::retire_idle_connection(double now) {
+// Half-closes the connection, if it is not 0; what the server still sends on it is read.
+void CoreConnections::retire(ConnectionId which, double now) {
+  if (which == 0) return;
+  Connection& connection = connections_.at(which);
+  connection.retired = true;
+  connection.retired_at = now;
+  delegate_.core_connection_changed(server_, which, ConnectionChange::kRetired);
+  delegate_.retire_core(which);
+}
+
+double CoreConnections::next_review_at(const Connection& connection) const {
+  if (connection.health.is_doubted()) return connection.is_unused() ? 0 : kNever;
+  return connection.health.next_update_at(last_line_at_);
+}
+
+void CoreConnections::review_connections(double now) {
+  std::vector<ConnectionId> doubted;
   for (auto& [id, connection] : connections_) {
-    const bool unused = connection.in_flight.empty() && connection.queued.empty();
-    if (!unused || !connection.up || !connection.line_received || connection.retired) continue;
-    connection.retired = true;
-    connection.retired_at = now;
-    delegate_.core_connection_changed(server_, id, ConnectionChange::kRetired);
-    return delegate_.retire_core(id);
+    if (connection.up && connection.health.update(now, last_line_at_)) doubted.push_back(id);
+  }
+  for (const ConnectionId id : doubted) on_connection_doubted(id, now);
+  for (const ConnectionId id : doubted_and_unused(connections_)) retire(id, now);
+}
+
+// What was written to it lately may not have arrived, and ends that the server writes to it are not received.
+void CoreConnections::on_connection_doubted(ConnectionId which, double now) {
+  delegate_.core_connection_changed(server_, which, ConnectionChange::kDoubted);
+  missed_ends_.suspect_loss();
+  mark_calls(which, true);
+  for (const SentRelease& each : std::exchange(connections_.at(which).sent_releases, {})) {
+    if (in_flight_.count(each.id) == 0 && established_.count(each.id) == 0)
+      send_or_queue_release(each.id, 0, now);
+  }
+}
+
+void CoreConnections::mark_calls(ConnectionId which, bool at_risk) {
+  for (const auto& [id, call] : established_) {
+    if (!at_risk && call.connection == which) missed_ends_.call_safe(id);
+    // Without a connection of its own, its end may be written to any that the server takes for open.
+    if (at_risk && (call.connection == which || connections_.count(call.connection) == 0))
+      missed_ends_.call_at_risk(id);
   }
 }
 
-// A server that does not close its retired connections is unreachable or ignores the half-close: only a few
-// of them are kept, for a limited time.
 void CoreConnections::close_retired_connections(double now) {
-  std::vector<ConnectionId> expired;
-  std::size_t kept = 0;
-  for (auto it = connections_.rbegin(); it != connections_.rend(); ++it) {
-    if (!it->second.retired) continue;
-    kept += 1;
-    if (kept > kMinConnections || now >= it->second.retired_at + kGoneTimeout) expired.push_back(it->first);
-  }
-  for (const ConnectionId which : expired) {
+  for (const ConnectionId which : expired_retired(connections_, kGoneTimeout, now)) {
     delegate_.core_connection_changed(server_, which, ConnectionChange::kRetiredClosed);
     delegate_.close_core(which);
     connections_.erase(which);
--- a/src/platform/core_connections.hpp
+++ b/src/platform/core_connections.hpp
@@ -21,17 +21,14 @@
 #include <vector>
 
 #include "mintrock/controller.hpp"
+#include "platform/connection_choice.hpp"
 #include "platform/core_codec.hpp"
 #include "platform/missed_end_tracker.hpp"
 #include "platform/process_evidence.hpp"
+#include "platform/unconfirmed_attempts.hpp"
 
 namespace mintrock::platform {
 
-struct AttemptId {
-  CallId call = 0;
-  std::uint32_t number = 0;
-};
-
 // How a connection to a core server ended.
 enum class ConnectionLoss {
   kClosedByServer,  // closed or reset by the server; some servers answer a half-close with a reset
@@ -48,6 +45,7 @@
   kRefused,         // nothing listens at the address
   kConnectTimeout,  // closed by this proxy: not established in time
   kUnreadable,      // closed by this proxy after a malformed message
+  kDoubted,         // may be of no further use (ConnectionHealth)
   kRetired,         // half-closed in favour of a new connection that probes the server
   kRetiredClosed,   // closed by this proxy: the server did not close a retired connection
   kServerGone,      // closed by this proxy: its server is taken for gone
@@ -152,25 +150,7 @@
   std::size_t unconfirmed_releases(double now) const;
 
  private:
-  struct SentRelease {
-    std::uint64_t id = 0;
-    double sent_at = 0;
-  };
-  struct Connection {
-    bool up = false;
-    bool line_received = false;
-    bool retired = false;  // half-closed: nothing more is sent, but received lines are handled
-    double retired_at = 0;
-    double started_at = 0;
-    double up_since = 0;
-    double last_line_at = 0;
-    LineSplitter splitter;
-    std::set<std::uint64_t> in_flight;  // set-ups written and not yet answered
-    std::deque<std::uint64_t> queued;   // set-ups to be written once the connection is up
-    // Ids of abandoned attempts, whose answers are late; bounded by kMaxAbandoned.
-    std::unordered_set<std::uint64_t> abandoned;
-    std::deque<SentRelease> sent_releases;  // recent ones that the server has not acknowledged
-  };
+  using Connection = CoreConnection;
   // A set-up that is not answered yet; `message` is kept until it is written.
   struct InFlight {
     AttemptId attempt;
@@ -178,18 +158,12 @@
     bool written = false;
     std::string message;
   };
-  // An attempt that has ended at this proxy, though the server may have established its call.
-  struct UnconfirmedAttempt {
-    AttemptId attempt;
-    std::uint64_t id = 0;
-    double since = 0;
-    double held_since = 0;  // as in EstablishedCall
-  };
   struct EstablishedCall {
     // The process that holds the call was running at this time: its connection came up then, or its caller
     // reported it a little later.
     double held_since = 0;
     bool reported_by_caller = false;
+    ConnectionId connection = 0;  // of its set-up; 0: not of this process
   };
   struct PendingRelease {
     std::uint64_t id = 0;
@@ -198,7 +172,6 @@
 
   Connection& open_connection(double now);
   ConnectionId select_connection(double now);
-  static ConnectionId first_usable(const std::map<ConnectionId, Connection>& connections);
   ConnectionId any_usable() const { return first_usable(connections_); }
   // What was held before this time was held by an earlier process; at most 0: nothing was.
   double replaced_before() const { return std::max(restarted_before_, address_taken_before_); }
@@ -218,9 +191,14 @@
   // Ends the attempts in flight at a server that is quiet and refuses connections, without waiting for their
   // connections to close.
   void abandon_attempts(double now);
-  void retire_idle_connection(double now);
+  // Finds the connections that have become doubted, and retires doubted ones that carry no set-up.
+  void review_connections(double now);
+  void on_connection_doubted(ConnectionId which, double now);
+  bool remove_established(std::uint64_t id);
+  // Marks the calls whose ends are written to this connection as at risk or as safe.
+  void mark_calls(ConnectionId which, bool at_risk);
+  void retire(ConnectionId which, double now);
   void close_retired_connections(double now);
-  std::size_t active_connections() const;  // connections that are not retired
   double confirmation_deadline(const Connection& connection) const;
   void end_attempt(std::uint64_t id, Outcome outcome, double now);
   ProcessEvidence evidence(ConnectionEnd latest_end = ConnectionEnd::kNone) const;
@@ -229,12 +207,11 @@
   void end_process(ProcessEnd end, double now);
   void close_connection_of_gone(ConnectionId which, const Connection& connection, double now);
   std::map<std::uint64_t, EstablishedCall> take_calls(ProcessEnd end);
-  std::map<ConnectionId, Connection> take_connections(ProcessEnd end);
-  void add_unconfirmed(const AttemptId& attempt, std::uint64_t id, double held_since, double now);
-  void confirm_attempts_ended(std::uint64_t id);
+  CoreConnectionMap take_connections(ProcessEnd end);
   void report_unconfirmed_ended(double held_before, double last_line_at);
   void note_serving(double now);
   double next_probe_at() const;
+  double next_review_at(const Connection& connection) const;
   bool needs_connections() const;
   void maintain_connections(double now);
 
@@ -247,10 +224,10 @@
   double restarted_before_ = 0;      // by a later start of this server
   bool may_hold_earlier_ = false;    // calls or connections of an earlier process may be left
   double address_taken_before_ = 0;  // by the start of the server that has the address now
-  std::map<ConnectionId, Connection> connections_;
+  CoreConnectionMap connections_;
   std::unordered_map<std::uint64_t, InFlight> in_flight_;
   std::unordered_map<std::uint64_t, EstablishedCall> established_;
-  std::deque<UnconfirmedAttempt> unconfirmed_attempts_;
+  UnconfirmedAttempts unconfirmed_attempts_;
   std::deque<PendingRelease> pending_releases_;  // releases that no connection could carry yet
   double first_connection_at_ = kNever;          // when the first one was started
   bool heard_ = false;                           // a connection has come up
--- a/src/platform/log_names.cpp
+++ b/src/platform/log_names.cpp
@@ -44,6 +44,8 @@
       return "not up in time";
     case ConnectionChange::kUnreadable:
       return "closed: unreadable";
+    case ConnectionChange::kDoubted:
+      return "doubted";
     case ConnectionChange::kRetired:
       return "retired";
     case ConnectionChange::kRetiredClosed:
--- a/src/platform/missed_end_tracker.hpp
+++ b/src/platform/missed_end_tracker.hpp
@@ -11,11 +11,17 @@
 // this process closed while the server was silent. Until the server sends a line again, it may write ends to
 // such a connection, and only a connection that is started after that line recovers them.
 //
+// A connection that is of no further use (ConnectionHealth) may look open to the server for as long as the
+// process lives, and the end of a call may be written to it at any time. While such calls are established, a
+// new connection is due from time to time.
+//
 // Pure: does no I/O and reads no clock. The owner reports the events of its connections, whose ids increase.
 #ifndef MINTROCK_SRC_PLATFORM_MISSED_END_TRACKER_HPP_
 #define MINTROCK_SRC_PLATFORM_MISSED_END_TRACKER_HPP_
 
 #include <cstdint>
+#include <limits>
+#include <unordered_set>
 
 namespace mintrock::platform {
 
@@ -26,7 +32,23 @@
   // A healthy server sends its state at once on a new connection; this allows for a short load peak.
   static constexpr double kPromptFirstLine = 0.2;  // s
 
-  void connection_started(ConnectionId which) { last_started_ = which; }
+  // The time between new connections while calls are at risk. An end is due 8 s after the call's end; this
+  // leaves time for a connection that comes up late.
+  static constexpr double kRenewalInterval = 4.0;  // s
+
+  void connection_started(ConnectionId which, double now) {
+    last_started_ = which;
+    last_started_at_ = now;
+  }
+  // The end of this call may be written to a connection that is of no use.
+  void call_at_risk(std::uint64_t id) { calls_at_risk_.insert(id); }
+  // The call has ended, or its end will be written to a connection that carries it.
+  void call_safe(std::uint64_t id) { calls_at_risk_.erase(id); }
+  // When a new connection is due for the sake of the calls at risk; infinity: there is none.
+  double next_renewal_at() const {
+    return calls_at_risk_.empty() ? std::numeric_limits<double>::infinity()
+                                  : last_started_at_ + kRenewalInterval;
+  }
   // The previous process of this proxy held calls at this server.
   void previous_process_had_calls() { previous_process_had_calls_ = true; }
   // The server sent a line on any connection.
@@ -71,6 +93,8 @@
   bool awaiting_line_ = true;
   ConnectionId unconfirmed_up_to_ = 0;  // connections up to this id were started too early to confirm
   ConnectionId last_started_ = 0;
+  double last_started_at_ = 0;
+  std::unordered_set<std::uint64_t> calls_at_risk_;
 };
 
 }  // namespace mintrock::platform
--- a/tests/platform/core_connections_test.cpp
+++ b/tests/platform/core_connections_test.cpp
@@ -4,8 +4,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -64,11 +66,12 @@
     send(on, "answer", id, ",\"sdp\":\"v=0\"", now);
   }
   void send_state(ConnectionId on, double now) { send(on, "state", 0, "", now); }
-  // The server sends its state on this connection every 0.1 s and closes retired connections, until `done` or
-  // `end`. Returns the time reached.
+  // The server sends its state on this connection and on those of `speaking` every 0.1 s and closes retired
+  // connections, until `done` or `end`. Returns the time reached.
   double send_states_until(ConnectionId on, double now, double end, const std::function<bool()>& done) {
     for (; now < end && !done(); now += 0.1) {
       send_state(on, now);
+      for (const ConnectionId each : speaking) send_state(each, now);
       connections.tick(now);
       for (const ConnectionId each : std::exchange(retired, {}))
         connections.disconnected(each, ConnectionLoss::kClosedByServer, now);
@@ -120,6 +123,7 @@
 
   ConnectionId last_id = 0;
   std::vector<ConnectionId> started, closed, retired;
+  std::vector<ConnectionId> speaking;  // in send_states_until()
   std::map<ConnectionId, std::string> sent;
   std::vector<std::string> events, faults;
   std::vector<Report> loads;
@@ -462,6 +466,7 @@
   f.send_state(2, 0.1);
   for (std::uint64_t id = 12; id <= 14; ++id) f.set_up(static_cast<CallId>(id), 0, id, 0.2);
   const ConnectionId before = f.last_id;
+  f.speaking = {f.connection_of(13), before};  // silent, they would be doubted for the set-ups that wait there
   f.connections.disconnected(f.connection_of(11), ConnectionLoss::kClosedByServer, 0.3);
   f.connections.connected(before, 0.35);
   f.send_state(before, 0.36);
@@ -909,6 +914,205 @@
   }
 }
 
+// Review, case 6: an answer stopped short, and its connection was of no further use. Set-ups went on choosing
+// it, and the end of a call that was set up there was never received.
+TEST(CoreConnections, ConnectionThatOwesAnAnswerIsDoubtedAndItsEndsAreAskedForOnOthers) {
+  Fixture f;
+  f.establish_call();
+  const ConnectionId useless = f.connection_of(11);
+  f.set_up(2, 0, 12, 1);
+  ASSERT_EQ(f.connection_of(12), useless);
+  f.connections.received(useless, R"({"type":"answer","id":"000000000000000c","fiel)", 1.02);
+  constexpr double kEndWrittenAt = 6;  // the end of 11, on the useless connection
+  double last_started_at = 0;
+  std::size_t started = 0;
+  bool retired = false;
+  for (double now = 1.1; now < 20 && f.connections.established() > 0; now += 0.1) {
+    if (now > 3 && f.connections.in_flight() > 0) f.connections.release_call(12, now);
+    f.connections.tick(now);
+    for (const ConnectionId each : std::exchange(f.retired, {})) {
+      retired = retired || each == useless;
+      if (each != useless) f.connections.disconnected(each, ConnectionLoss::kClosedByServer, now);
+    }
+    for (const ConnectionId each : std::exchange(f.started, {})) {
+      f.connections.connected(each, now);
+      f.send_state(each, now);
+      last_started_at = now;
+      started += 1;
+      if (now > kEndWrittenAt) f.send(each, "release", 11, ",\"cause\":16", now);  // repeated
+    }
+    if (now > 1.5) f.send_state(2, now);
+  }
+  EXPECT_EQ(f.connections.established(), 0u) << "the end was received";
+  EXPECT_LT(last_started_at, kEndWrittenAt + 8);
+  EXPECT_LE(started, 4u) << "connections";
+  EXPECT_TRUE(retired) << "once its set-up was given up";
+}
+
+TEST(CoreConnections, SetupsAvoidDoubtedConnection) {
+  Fixture f;
+  f.establish_all(0);
+  f.set_up(1, 0, 11, 1);
+  const ConnectionId useless = f.connection_of(11);
+  f.send_state(3 - useless, 2);
+  f.connections.tick(2.6);
+  for (std::uint64_t id = 12; id < 20; ++id) {
+    f.set_up(static_cast<CallId>(id), 0, id, 2.6);
+    f.establish_all(2.6);
+    EXPECT_NE(f.connection_of(id), useless);
+  }
+  f.connections.release_call(11, 3);
+  EXPECT_EQ(f.release_count(11), 2u) << "there, and where it arrives";
+  f.connections.tick(3);
+  EXPECT_EQ(f.retired, std::vector<ConnectionId>{useless});
+  f.send(useless, "release", 11, ",\"cause\":41", 3.5);
+  f.connections.disconnected(useless, ConnectionLoss::kClosedByServer, 3.6);
+  EXPECT_EQ(f.connections.connections(), 4u);
+}
+
+// A release that was written before the doubt arose goes out again on another connection.
+TEST(CoreConnections, ReleasesOnDoubtedConnectionAreSentOnAnother) {
+  Fixture f;
+  f.establish_all(0);
+  f.set_up(1, 0, 11, 1);
+  const ConnectionId useless = f.connection_of(11);
+  f.connections.release_call(11, 1.5);
+  f.send_state(3 - useless, 2);
+  f.connections.tick(2);
+  EXPECT_EQ(f.release_count(11), 1u);
+  f.connections.tick(2.51);
+  EXPECT_EQ(f.release_count(11), 2u);
+  f.connections.tick(4);
+  EXPECT_EQ(f.release_count(11), 2u);
+}
+
+// While a server hangs, a connection to it is no better than another: its set-ups open none, only the probes
+// do, one a second.
+TEST(CoreConnections, UnansweredSetupsOpenNoConnectionsToHangingServer) {
+  Fixture f(16);
+  f.establish_all(0);
+  f.send_state(1, 0);
+  f.send_state(2, 0);
+  f.started.clear();
+  std::size_t opened = 0;
+  for (std::uint64_t id = 11; id < 51; ++id) {
+    const double now = 1 + 0.5 * static_cast<double>(id - 11);
+    f.set_up(static_cast<CallId>(id), 0, id, now);
+    f.connections.tick(now + 0.4);
+    f.connections.release_call(id, now + 0.4);
+    opened += f.started.size();
+    f.establish_all(now + 0.4);
+  }
+  EXPECT_LE(opened, 20u) << "in 20 s";
+}
+
+// 300 s at 20 calls a second, of which two in a hundred answers stop short on a connection that is of no use
+// from then on: the doubts must cost neither many connections nor further attempts, and every end is
+// received.
+TEST(CoreConnections, SpoiltAnswersCostFewConnectionsAndAttempts) {
+  constexpr double kDuration = 300, kStep = 0.01, kAnswerTime = 0.02, kHold = 8, kGiveUp = 3, kEndDue = 8.05;
+  Fixture f(8);
+  std::set<ConnectionId> open, useless;
+  std::map<std::uint64_t, std::pair<ConnectionId, double>> waiting, standing;  // where, and since when
+  std::map<std::uint64_t, double> ended;                                       // and not yet received
+  std::vector<std::uint64_t> repeat;
+  std::size_t setups = 0, spoilt = 0, lost = 0, opened = 0, late_ends = 0;
+  const auto send_end = [&](ConnectionId on, std::uint64_t id, double now) {
+    if (useless.count(on) == 0 && open.count(on) != 0) f.send(on, "release", id, ",\"cause\":16", now);
+  };
+  double next_setup = 1, next_state = 0;
+  for (double now = 0; now < kDuration; now += kStep) {
+    f.connections.tick(now);
+    for (const ConnectionId each : std::exchange(f.retired, {})) {
+      if (useless.count(each) != 0) continue;  // the server doesn't notice
+      open.erase(each);
+      f.connections.disconnected(each, ConnectionLoss::kClosedByServer, now);
+    }
+    for (const ConnectionId each : std::exchange(f.started, {})) {
+      opened += 1;
+      open.insert(each);
+      f.connections.connected(each, now);
+      f.send_state(each, now);
+      for (const std::uint64_t id : std::exchange(repeat, {})) send_end(each, id, now);
+    }
+    for (; now >= next_setup; next_setup += 0.05) {
+      const std::uint64_t id = 100 + ++setups;
+      f.set_up(static_cast<CallId>(id), 0, id, now);
+      ConnectionId on = f.connection_of(id);
+      for (const ConnectionId each : std::exchange(f.started, {})) {
+        opened += 1;
+        open.insert(each);
+        f.connections.connected(each, now);
+        f.send_state(each, now);
+        for (const std::uint64_t end : std::exchange(repeat, {})) send_end(each, end, now);
+        on = f.connection_of(id);
+      }
+      f.sent.clear();
+      ASSERT_NE(on, 0u);
+      waiting[id] = {on, now};
+      if (setups % 50 == 0 && useless.count(on) == 0) {
+        spoilt += 1;
+        f.connections.received(on, "{\"type\":\"ans", now);
+        useless.insert(on);
+      }
+    }
+    for (auto it = waiting.begin(); it != waiting.end();) {
+      const auto [id, entry] = *it;
+      const auto [on, since] = entry;
+      const bool answered = useless.count(on) == 0 && now >= since + kAnswerTime;
+      const bool given_up = now >= since + kGiveUp;
+      if (!answered && !given_up) {
+        ++it;
+        continue;
+      }
+      it = waiting.erase(it);
+      if (answered) {
+        f.answer(on, id, now);
+        standing[id] = entry;
+      } else {
+        lost += 1;
+        f.connections.release_call(id, now);
+      }
+    }
+    for (auto it = standing.begin(); it != standing.end();) {
+      const auto [id, entry] = *it;
+      if (now < entry.second + kHold) {
+        ++it;
+        continue;
+      }
+      it = standing.erase(it);
+      ended[id] = now;
+      repeat.push_back(id);
+      send_end(open.count(entry.first) != 0 ? entry.first : *open.rbegin(), id, now);
+    }
+    for (const std::string& event : std::exchange(f.events, {})) {
+      if (event.rfind("call ended ", 0) == 0) ended.erase(std::stoull(event.substr(11)));
+    }
+    for (auto it = ended.begin(); it != ended.end();) {
+      const bool late = now > it->second + kEndDue;
+      late_ends += late;
+      it = late ? ended.erase(it) : std::next(it);
+    }
+    if (now < next_state) continue;
+    next_state += 0.5;
+    std::size_t sent = 0;
+    for (const ConnectionId each : std::set<ConnectionId>(open)) {
+      if (useless.count(each) == 0 && ++sent <= 4) f.send_state(each, now);
+    }
+  }
+  RecordProperty("setups", static_cast<int>(setups));
+  RecordProperty("spoilt", static_cast<int>(spoilt));
+  RecordProperty("lost", static_cast<int>(lost));
+  RecordProperty("opened", static_cast<int>(opened));
+  RecordProperty("late_ends", static_cast<int>(late_ends));
+  std::printf("%zu set-ups, %zu answers spoilt, %zu attempts lost, %zu connections opened, %zu ends late\n",
+              setups, spoilt, lost, opened, late_ends);
+  EXPECT_GT(spoilt, 50u);
+  EXPECT_EQ(late_ends, 0u);
+  EXPECT_LE(lost, spoilt * 3 / 2);
+  EXPECT_LE(opened, 2 * spoilt + static_cast<std::size_t>(kDuration / 4) + 16);
+}
+
 TEST(CoreConnections, TablesAreEmptyAfterChurn) {
   Fixture f;
   f.establish_all(0);
--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -514,8 +514,8 @@
   EXPECT_TRUE(fixture.until([&] { return fixture.core.count("release") == 1; }));
 }
 
-// Review, case 10: the end of a call that had been refused was repeated 17 s later, on another connection, and
-// sent to its caller.
+// Review, case 10: the end of a call that had been refused was repeated 17 s later, on another connection,
+// and sent to its caller.
 TEST(PlatformEdge, EndThatIsRepeatedLateIsNotASecondFinalAnswer) {
   Fixture fixture;
   std::size_t used = 0;
