An ending process reads core servers only while it can tell callers of ends

Cause: from 0.9 s after SIGTERM the callers' connections were closed, but core servers were read, and connected to, up to the exit. The end of a call is sent on its connection and once more on the next one opened; a core server that had hung sent both to the ending process, which had no caller's connection left (end_told "kept") and exited, believing that the next process would be sent it. Ruled out: an end that the next process was sent and missed.

Change: ShutdownSequence (pure, with its table) orders the shutdown. While calls stand, the connection that shows best that it is a caller's is kept; core servers are closed before it. A silent server that holds calls is waited for until the latest exit, 3.65 s after the signal at most. Set-ups on the kept connection are answered, and refused in the last 0.2 s.

--- a/src/platform/caller_side.cpp
+++ b/src/platform/caller_side.cpp
@@ -43,8 +43,19 @@
   return found == connections_.end() ? nullptr : &found->second;
 }
 
-double CallerSide::compute_close_check(const Connection& connection) const {
-  if (!connection.open_setups.empty()) return kNever;
+bool CallerSide::is_closable(const Connection& connection) {
+  return connection.open_setups.empty() && !connection.parser.has_partial_message();
+}
+
+std::size_t CallerSide::busy_connections() const {
+  const auto kept = connections_.find(kept_for_ends_);
+  const bool idle =
+      kept != connections_.end() && is_closable(kept->second) && !delegate_.has_unread(kept->first);
+  return connections_.size() - (idle ? 1 : 0);
+}
+
+double CallerSide::compute_close_check(ConnectionId which, const Connection& connection) const {
+  if (!connection.open_setups.empty() || which == kept_for_ends_) return kNever;
   if (!connection.established.empty() && !shutting_down_) return kNever;
   const bool partial = connection.parser.has_partial_message();
   if (shutting_down_)
@@ -57,7 +68,7 @@
 }
 
 void CallerSide::update_close_check(ConnectionId which, Connection& connection) {
-  const double close_check_at = compute_close_check(connection);
+  const double close_check_at = compute_close_check(which, connection);
   if (connection.close_check_at == close_check_at) return;
   close_checks_.erase({connection.close_check_at, which});
   connection.close_check_at = close_check_at;
@@ -279,6 +290,7 @@
   close_checks_.erase({removed.close_check_at, which});
   for (const std::uint64_t id : removed.established) established_.erase(id);
   if (preferred_for_ends_ == which) preferred_for_ends_ = 0;
+  if (kept_for_ends_ == which) kept_for_ends_ = 0;
   for (const std::uint64_t id : removed.open_setups) {
     open_setups_.erase(id);
     delegate_.hang_up(id);
@@ -302,8 +314,22 @@
   for (auto& [which, connection] : connections_) update_close_check(which, connection);
 }
 
-void CallerSide::close_all() {
-  while (!connections_.empty()) close(connections_.begin()->first, CloseReason::kShutdown);
+void CallerSide::keep_connection_for_ends(bool keep) {
+  const ConnectionId before = kept_for_ends_;
+  if (!keep) kept_for_ends_ = 0;
+  if (keep && kept_for_ends_ == 0) kept_for_ends_ = best_for_ends();
+  if (kept_for_ends_ == before) return;
+  for (const ConnectionId which : {before, kept_for_ends_}) {
+    if (Connection* const connection = find(which)) update_close_check(which, *connection);
+  }
+}
+
+void CallerSide::close_all_but_the_one_for_ends() {
+  std::vector<ConnectionId> others;
+  for (const auto& [which, connection] : connections_) {
+    if (which != kept_for_ends_) others.push_back(which);
+  }
+  for (const ConnectionId which : others) close(which, CloseReason::kShutdown);
 }
 
 void CallerSide::close(ConnectionId which, CloseReason reason) {
@@ -407,20 +433,26 @@
   remove_established(id, now);
   take_pending_end(id);
   if (to == 0) {
-    std::pair<CallerEvidence, double> best{CallerEvidence::kNone, -1};
-    for (const auto& [which, connection] : connections_) {
-      const std::pair<CallerEvidence, double> rank{connection.evidence, connection.last_active};
-      if (connection.evidence < CallerEvidence::kCall || rank <= best) continue;
-      best = rank;
-      to = which;
-    }
+    to = best_for_ends();
     // Without an answered set-up it may not belong to a caller.
-    if (best.first == CallerEvidence::kAnswer) preferred_for_ends_ = to;
+    if (to != 0 && find(to)->evidence == CallerEvidence::kAnswer) preferred_for_ends_ = to;
   }
   if (to != 0) return send_end(id, cause, to, now);
   queue_end(id, cause, now);
 }
 
+ConnectionId CallerSide::best_for_ends() const {
+  ConnectionId out = 0;
+  std::pair<CallerEvidence, double> best{CallerEvidence::kNone, -1};
+  for (const auto& [which, connection] : connections_) {
+    const std::pair<CallerEvidence, double> rank{connection.evidence, connection.last_active};
+    if (connection.evidence < CallerEvidence::kCall || rank <= best) continue;
+    best = rank;
+    out = which;
+  }
+  return out;
+}
+
 void CallerSide::queue_end(std::uint64_t id, int cause, double now) {
   delegate_.end_reported(id, 0, EndDelivery::kQueued);
   counters_.ends_queued += 1;
--- a/src/platform/caller_side.hpp
+++ b/src/platform/caller_side.hpp
@@ -102,7 +102,13 @@
   // Starts the shutdown: each connection is closed as soon as it has neither a pending answer nor a partly
   // received message.
   void begin_shutdown();
-  void close_all();
+  // Whether one connection stays open in a shutdown to report ends on: the one that shows best that it
+  // belongs to callers.
+  void keep_connection_for_ends(bool keep);
+  void close_all_but_the_one_for_ends();
+  bool keeps_connection_for_ends() const { return kept_for_ends_ != 0; }
+  // The connections, but for one that is kept for ends and has nothing else to do.
+  std::size_t busy_connections() const;
 
   // ---- Called by the call manager ----
   void answer(std::uint64_t id, std::string_view description, double now);
@@ -178,7 +184,10 @@
   // Offers one end; returns whether connections are left to offer it on.
   bool offer(PendingEnd& end, const std::vector<ConnectionId>& candidates);
   std::vector<ConnectionId> connections_to_offer_on() const;
-  double compute_close_check(const Connection& connection) const;
+  // The connection with the best evidence that it belongs to callers, kCall at least; 0: none.
+  ConnectionId best_for_ends() const;
+  static bool is_closable(const Connection& connection);
+  double compute_close_check(ConnectionId which, const Connection& connection) const;
   void update_close_check(ConnectionId which, Connection& connection);
 
   CallerSideDelegate& delegate_;
@@ -188,6 +197,7 @@
       established_;                                         // where each established call came, while open
   std::set<std::pair<double, ConnectionId>> close_checks_;  // when to check each connection for closing
   bool shutting_down_ = false;
+  ConnectionId kept_for_ends_ = 0;  // at a shutdown; 0: none
   // Where the ends of calls without a connection of their own are reported; 0: not chosen.
   ConnectionId preferred_for_ends_ = 0;
   std::deque<PendingEnd> pending_ends_;
--- a/src/platform/core_connections.hpp
+++ b/src/platform/core_connections.hpp
@@ -103,6 +103,8 @@
 
 class CoreConnections {
  public:
+  static constexpr double kStateDue = 1.0;  // s in which a server that works sends its state
+
   struct Settings {
     double connect_timeout_s = 0.5;
     std::size_t max_connections = 8;
@@ -146,6 +148,8 @@
   std::size_t in_flight() const { return in_flight_.size(); }
   std::size_t established() const { return established_.size(); }
   std::size_t pending_releases() const { return pending_releases_.size(); }
+  // Calls stand at the server, which is silent: their ends may be on the way.
+  bool ends_overdue(double now) const { return !established_.empty() && now >= last_line_at_ + kStateDue; }
   // Releases that were written, but may be lost if their connection fails now.
   std::size_t unconfirmed_releases(double now) const;
 
--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -31,13 +31,6 @@
 constexpr std::size_t kCallsPerMegabyte = 64;
 constexpr std::size_t kMaxTakenOver = 20000;
 
-constexpr double kAcceptAfterDrain = 0.9;  // s after SIGTERM during which new calls are still accepted
-// After SIGTERM the platform waits for the longest deadline of the call classes or for kMaxDrain, whichever
-// is shorter, and kills the process 0.7 s later at the earliest. The process exits by itself kDrainMargin
-// after that wait, a little before the kill.
-constexpr double kMaxDrain = 3.0;      // s
-constexpr double kDrainMargin = 0.45;  // s
-
 constexpr double kEndDue = 8.0;  // s from the end of a call until its caller must have been told
 
 // How long a call that its caller reports to be established at an unlisted server is kept: the list update
@@ -65,17 +58,6 @@
 
 }  // namespace
 
-// A sixteenth of the descriptors is reserved for the process itself, listeners, the bus (two connections
-// while its address changes) and datagrams, and a quarter for core servers. The rest is for callers, which
-// usually hold at most a third of all.
-DescriptorBudget::DescriptorBudget(std::uint32_t sockets)
-    : callers(sockets - sockets / 4 - std::max(16u, sockets / 16)), core(sockets / 4) {}
-
-std::size_t DescriptorBudget::per_server(std::size_t servers) const {
-  constexpr std::size_t kMaxPerServer = 16;
-  return std::clamp<std::size_t>(core / std::max<std::size_t>(1, servers), 2, kMaxPerServer);
-}
-
 PlatformEdge::PlatformEdge(net::Loop& loop, Config config, std::string config_file)
     : loop_(loop),
       config_(std::move(config)),
@@ -117,7 +99,9 @@
 
 void PlatformEdge::schedule_timer() {
   double due = std::min({call_manager_.deadline(), callers_.deadline(), unlisted_deadline()});
-  for (const auto& [id, core] : cores_) due = std::min(due, core.connections->deadline());
+  for (const auto& [id, core] : cores_) {
+    if (is_reading_core_servers()) due = std::min(due, core.connections->deadline());
+  }
   if (timer_ != 0 && timer_at_ == due) return;
   loop_.timers().cancel(std::exchange(timer_, 0));
   if (due == std::numeric_limits<double>::infinity()) return;
@@ -127,7 +111,9 @@
     const double now = loop_.now();
     call_manager_.tick(now);
     callers_.tick(now);
-    for (auto& [id, core] : cores_) core.connections->tick(now);
+    for (auto& [id, core] : cores_) {
+      if (is_reading_core_servers()) core.connections->tick(now);
+    }
     resolve_unlisted(now);
     remove_departed_servers();
     schedule_timer();
@@ -173,7 +159,8 @@
                                           double give_up_after_s) {
   const auto found = calls_.find(id);
   const auto core = cores_.find(server);
-  if (found == calls_.end() || core == cores_.end() || core->second.state != ServerEntry::State::kReady) {
+  if (found == calls_.end() || core == cores_.end() || core->second.state != ServerEntry::State::kReady ||
+      !is_reading_core_servers()) {
     return edge::SendResult::kNotSent;
   }
   Call& call = found->second;
@@ -394,6 +381,7 @@
 
 ConnectionId PlatformEdge::connect_core(ServerId server) {
   const ConnectionId id = ++last_connection_;
+  if (!is_reading_core_servers()) return id;  // it never comes up
   std::shared_ptr<net::Stream> stream;
   try {
     stream = net::Stream::connect(loop_, cores_.at(server).address, kMaxUnsent);
@@ -754,48 +742,64 @@
 }
 
 void PlatformEdge::drain() {
-  if (draining_) return;
-  draining_ = true;
-  accept_until_ = loop_.now() + kAcceptAfterDrain;
-  drain_until_ =
-      std::max(accept_until_, loop_.now() + std::min(kMaxDrain, longest_deadline(config_)) + kDrainMargin);
+  if (shutdown_) return;
+  shutdown_.emplace(loop_.now(), longest_deadline(config_));
   log_event(info, "draining", {{"open", std::to_string(call_manager_.pending())}});
   continue_drain();
 }
 
-// No new callers are expected after accept_until_: connections that the kernel has accepted are taken, and
-// the listener is closed. Each connection is closed once no set-up on it is open, its last answer is written
-// and no received bytes are unread. Set-ups that are still open at drain_until_ get their final answer then.
+ShutdownState PlatformEdge::shutdown_state(double now) const {
+  ShutdownState state;
+  state.busy_callers = callers_.busy_connections();
+  state.unsent_streams = loop_.closing_streams();
+  state.connection_for_ends = callers_.keeps_connection_for_ends();
+  state.untold_ends = callers_.pending_ends() > 0;
+  for (const auto& [id, core] : cores_) {
+    state.unconfirmed_releases +=
+        core.connections->pending_releases() + core.connections->unconfirmed_releases(now);
+    state.ends_overdue = state.ends_overdue || core.connections->ends_overdue(now);
+  }
+  return state;
+}
+
 void PlatformEdge::continue_drain() {
   constexpr double kPollInterval = 0.02;  // s
   const double now = loop_.now();
-  if (now >= accept_until_ && !listener_closed_) {
-    listener_closed_ = true;
-    listener_->accept_pending();
-    listener_.reset();
-    callers_.begin_shutdown();
-    callers_.tick(now);
-  }
-  if (now >= drain_until_) {
-    call_manager_.answer_pending_calls(now);
-    callers_.close_all();
-  }
-  std::size_t releases = 0;
-  for (const auto& [id, core] : cores_)
-    releases += core.connections->pending_releases() + core.connections->unconfirmed_releases(now);
-  const bool callers_gone = listener_closed_ && callers_.connections() == 0 && loop_.closing_streams() == 0;
-  // An end that is received now can only be sent by the next process: it must not be delayed for the sake of
-  // unconfirmed releases.
-  const bool done = callers_gone && (releases == 0 || callers_.pending_ends() > 0);
-  constexpr double kFlushTime = 0.2;  // s for the last bytes to be sent
-  if (done || now >= drain_until_ + kFlushTime) {
-    loop_.timers().cancel(state_timer_);
-    log_state();
-    log_event(info, "stopped", {{"standing", std::to_string(call_manager_.established())}});
-    return loop_.stop();
-  }
+  const ShutdownPhase before = shutdown_->phase();
+  const ShutdownPhase phase = shutdown_->advance(shutdown_state(now), now);
+  const bool calls_stand = std::any_of(cores_.begin(), cores_.end(), [](const auto& each) {
+    return each.second.connections->established() > 0;
+  });
+  const bool reads_ends = phase == ShutdownPhase::kDraining || phase == ShutdownPhase::kFinalAnswers;
+  callers_.keep_connection_for_ends(calls_stand && reads_ends);
+  if (phase != before) enter(phase);
+  if (phase == ShutdownPhase::kDone) return loop_.stop();
+  if (phase != ShutdownPhase::kServing) callers_.tick(now);
   schedule_timer();
   loop_.after(kPollInterval, [this] { continue_drain(); });
 }
 
+void PlatformEdge::enter(ShutdownPhase phase) {
+  switch (phase) {
+    case ShutdownPhase::kServing:
+      return;
+    case ShutdownPhase::kDraining:
+      listener_->accept_pending();  // the connections that the kernel has accepted
+      listener_.reset();
+      return callers_.begin_shutdown();
+    case ShutdownPhase::kFinalAnswers:
+      call_manager_.drain();
+      call_manager_.answer_pending_calls(loop_.now());
+      return callers_.close_all_but_the_one_for_ends();
+    case ShutdownPhase::kClosing:
+      call_manager_.drain();
+      for (auto& [id, core] : std::exchange(core_streams_, {})) core.stream->close_after_flush();
+      return;
+    case ShutdownPhase::kDone:
+      loop_.timers().cancel(state_timer_);
+      log_state();
+      log_event(info, "stopped", {{"standing", std::to_string(call_manager_.established())}});
+  }
+}
+
 }  // namespace mintrock::platform
--- a/src/platform/platform_edge.hpp
+++ b/src/platform/platform_edge.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -19,18 +20,12 @@
 #include "platform/caller_side.hpp"
 #include "platform/config.hpp"
 #include "platform/core_connections.hpp"
+#include "platform/descriptor_budget.hpp"
 #include "platform/ended_calls.hpp"
+#include "platform/shutdown_sequence.hpp"
 
 namespace mintrock::platform {
 
-// How the file descriptors of this process are divided.
-struct DescriptorBudget {
-  explicit DescriptorBudget(std::uint32_t sockets);
-  std::size_t callers;  // connections from callers, including those that are closing
-  std::size_t core;     // connections to core servers
-  std::size_t per_server(std::size_t servers) const;
-};
-
 class PlatformEdge : public edge::CallManagerDelegate,
                      public CallerSideDelegate,
                      public CoreConnectionsDelegate {
@@ -119,6 +114,9 @@
   void open_bus();
   void try_reload(int tries_left);
   void continue_drain();
+  void enter(ShutdownPhase phase);
+  ShutdownState shutdown_state(double now) const;
+  bool is_reading_core_servers() const { return !shutdown_ || shutdown_->phase() < ShutdownPhase::kClosing; }
   void resolve_unlisted(double now);
   double unlisted_deadline() const;
   CoreConnections* find_connections(ServerId server);
@@ -163,10 +161,7 @@
   net::TimerId timer_ = 0;
   double timer_at_ = 0;
   net::TimerId state_timer_ = 0;
-  double drain_until_ = 0;
-  double accept_until_ = 0;
-  bool draining_ = false;
-  bool listener_closed_ = false;
+  std::optional<ShutdownSequence> shutdown_;  // once it has begun
 };
 
 }  // namespace mintrock::platform
--- a/tests/platform/caller_side_test.cpp
+++ b/tests/platform/caller_side_test.cpp
@@ -528,5 +528,46 @@
   EXPECT_EQ(f.side.established(), 0u);
 }
 
+// Review, case 8: an end that is read in a shutdown needs a connection to be reported on.
+TEST(CallerSide, ShutdownKeepsOneConnectionToReportEndsOn) {
+  Fixture f;
+  f.establish(1, {7}, 0);
+  f.establish(2, {8}, 0.5);
+  f.side.opened(3, 0.6);
+  f.side.received(3, write_message(CallerMessageType::kTest, 1, {}), 0.6);  // the front's
+  f.side.begin_shutdown();
+  f.side.keep_connection_for_ends(true);
+  f.side.tick(5);
+  EXPECT_EQ(f.closed, (std::set<ConnectionId>{1, 3}));
+  EXPECT_TRUE(f.side.keeps_connection_for_ends());
+  EXPECT_EQ(f.side.busy_connections(), 0u);
+  f.side.report_end(7, 16, 5.1);
+  EXPECT_EQ(f.sent.back().to, 2u);
+  f.setup(2, 9, 5.2);
+  EXPECT_EQ(f.side.busy_connections(), 1u) << "a set-up is open on it";
+  f.side.refuse(9, 42, {}, 5.3);
+  EXPECT_EQ(f.side.busy_connections(), 0u);
+  f.side.keep_connection_for_ends(false);
+  f.side.tick(5.4);
+  EXPECT_EQ(f.side.connections(), 0u);
+}
+
+// The connection that was kept is lost: another one takes its place while there is one.
+TEST(CallerSide, ShutdownKeepsAnotherConnectionWhenTheOneForEndsIsLost) {
+  Fixture f;
+  f.establish(1, {7}, 0);
+  f.side.opened(2, 0);
+  f.setup(2, 8, 0.1);
+  f.side.begin_shutdown();
+  f.side.keep_connection_for_ends(true);
+  f.side.lost(1, 1);
+  EXPECT_FALSE(f.side.keeps_connection_for_ends());
+  f.side.keep_connection_for_ends(true);
+  f.side.refuse(8, 42, {}, 1.1);
+  f.side.tick(5);
+  EXPECT_TRUE(f.side.keeps_connection_for_ends());
+  EXPECT_EQ(f.side.connections(), 1u);
+}
+
 }  // namespace
 }  // namespace mintrock::platform
--- a/tests/platform/core_connections_test.cpp
+++ b/tests/platform/core_connections_test.cpp
@@ -466,7 +466,8 @@
   f.send_state(2, 0.1);
   for (std::uint64_t id = 12; id <= 14; ++id) f.set_up(static_cast<CallId>(id), 0, id, 0.2);
   const ConnectionId before = f.last_id;
-  f.speaking = {f.connection_of(13), before};  // silent, they would be doubted for the set-ups that wait there
+  f.speaking = {f.connection_of(13),
+                before};  // silent, they would be doubted for the set-ups that wait there
   f.connections.disconnected(f.connection_of(11), ConnectionLoss::kClosedByServer, 0.3);
   f.connections.connected(before, 0.35);
   f.send_state(before, 0.36);
--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -943,6 +943,56 @@
   EXPECT_LT(ended, kCallEndsAt + 0.3);
 }
 
+// Review, case 8: a core server hung through a planned restart. The ending process read the end of a call
+// that stood, had closed its last connection to callers, and exited; no other process was sent that end.
+TEST(PlatformEdge, EndOfACallAtAHangingServerIsReportedUntilTheExit) {
+  for (const bool another_setup_waits : {false, true}) {
+    Fixture fixture(256, [](json& config, Fixture&) { config["settings"]["classes"][0]["deadline_s"] = 9; });
+    fixture.core.reply = [&](std::size_t on, const std::string& id) {
+      if (id == hex_id(7)) fixture.core.answer(on, id);
+    };
+    Caller caller(fixture.loop, fixture.edge->listening());
+    caller.setup(7);
+    ASSERT_TRUE(fixture.until([&] { return caller.count(9) == 1; }));
+    const double hangs_since = fixture.loop.now();
+    fixture.until([&] { return fixture.loop.now() > hangs_since + 1.1; });
+    Caller other(fixture.loop, fixture.edge->listening());
+    fixture.loop.after(0.35, [&] {
+      if (another_setup_waits) other.setup(8, "status", "2700");
+    });
+    constexpr double kHangEndsAt = 3.5;  // s after the signal; the process is killed 3.7 s after it
+    fixture.loop.after(kHangEndsAt, [&] {
+      caller.setup(9);
+      const std::string end = R"({"type":"release","id":")" + hex_id(7) + R"(","fields":{},"cause":16})";
+      for (std::size_t on = 0; on < fixture.core.streams.size(); ++on) fixture.core.send(on, end);
+    });
+    const double ended = drain_time(fixture);
+    EXPECT_GT(ended, kHangEndsAt);
+    EXPECT_LT(ended, 3.69);
+    EXPECT_TRUE(fixture.until([&] { return caller.closed; }));
+    EXPECT_EQ(caller.count_of(7), 2u) << "its answer and its end";
+    EXPECT_EQ(caller.count_of(9), 1u) << "a set-up that arrives so late is refused";
+    EXPECT_EQ(other.count_of(8), another_setup_waits ? 1u : 0u);
+  }
+}
+
+// What a core server sends once the callers' connections are closed is left to the next process.
+TEST(PlatformEdge, ShutdownWithCallsAtServersThatSpeakIsNotDelayed) {
+  Fixture fixture;
+  Caller caller(fixture.loop, fixture.edge->listening());
+  caller.setup(7);
+  ASSERT_TRUE(fixture.until([&] { return caller.count(9) == 1; }));
+  std::function<void()> speak = [&] {
+    for (std::size_t i = 0; i < fixture.core.streams.size(); ++i)
+      fixture.core.send(i, R"({"type":"state","fields":{"load":"spare:40;total:50"}})");
+    fixture.loop.after(0.3, speak);
+  };
+  speak();
+  EXPECT_LT(drain_time(fixture), 1.2);
+  EXPECT_TRUE(fixture.until([&] { return caller.closed; }));
+  EXPECT_EQ(caller.count_of(7), 1u);
+}
+
 // A set-up that is half received when the drain starts: the rest still arrives, and it is answered.
 TEST(PlatformEdge, AnswersPartiallyReceivedSetupDuringDrain) {
   Fixture fixture;
