A call that a former proxy set up before a server's restart is told as over

Cause: the call was taken to be held since the latest listed start, or 5 s before the report: "a start that was listed before the call was reported was also known to the proxy that set the call up". That one may have been gone. A start that the first list has was not kept as evidence at all. Ruled out: connections (the new process accepts them), an end sent and missed (a cut is sent to nobody).

Change: process_evidence has a listed start with its age and source. Within 10 s of the proxy's start, the time in which a restarted one is to be ready, a call reported at a server that started less than 10 s before the proxy, or since, is over, and released at the server, once a connection is up.

--- a/src/list/departed_servers.hpp
+++ b/src/list/departed_servers.hpp
@@ -34,6 +34,10 @@
     servers_.erase(found);
     return out;
   }
+  bool contains(const std::string& identity) const {
+    return std::any_of(servers_.begin(), servers_.end(),
+                       [&](const Entry& each) { return each.identity == identity; });
+  }
   std::size_t size() const { return servers_.size(); }
 
  private:
--- a/src/platform/core_connections.cpp
+++ b/src/platform/core_connections.cpp
@@ -19,9 +19,6 @@
 constexpr std::size_t kMaxSentReleases = 256;
 // A process may accept connections this shortly before the start that the list tells of it.
 constexpr double kStartTolerance = 0.1;  // s
-// A call that its caller reports was established at most this long before, unless the proxy that set it up
-// had the time to learn of the server's restart itself: list updates are up to 5 s late.
-constexpr double kHandoverTime = 5.0;  // s
 
 }  // namespace
 
@@ -125,11 +122,6 @@
   if (connection->second.health.is_doubted()) send_or_queue_release(id, 0, now);
 }
 
-bool CoreConnections::remove_established(std::uint64_t id) {
-  missed_ends_.call_safe(id);
-  return established_.erase(id) != 0;
-}
-
 void CoreConnections::end_attempt(std::uint64_t id, Outcome outcome, double) {
   const auto found = in_flight_.find(id);
   if (found == in_flight_.end()) return;
@@ -197,10 +189,15 @@
   end_if_gone(now);
 }
 
-// A start that was listed before the call was reported was also known to the proxy that set the call up.
+void CoreConnections::listed_with_start(double started_at, StartSource source) {
+  if (source != StartSource::kFirstProcess && started_at > 0)
+    restarted_before_ = started_at - kStartTolerance;
+}
+
 void CoreConnections::take_over(std::uint64_t id, double now) {
-  established_[id] = {std::max(restarted_before_, now - kHandoverTime), true};
-  may_hold_earlier_ = may_hold_earlier_ || address_taken_before_ > 0;
+  const double held_since = reported_call_held_since(restarted_before_, settings_.proxy_started_at, now);
+  established_[id] = {held_since, true, 0};
+  may_hold_earlier_ = may_hold_earlier_ || replaced_before() > 0;
   missed_ends_.previous_process_had_calls();
 }
 
@@ -397,7 +394,10 @@
   // process is running, only a call that a caller reported may be held by that.
   const ConnectionId usable = replaced ? any_usable() : first_usable(closed);
   for (const auto& [id, call] : cut) {
-    if (usable != 0 && (!replaced || call.reported_by_caller))
+    if (replaced && !call.reported_by_caller) continue;
+    if (replaced && !address_reassigned_)
+      send_or_queue_release(id, usable, now);
+    else if (usable != 0)
       delegate_.send_to_core(usable, write_core_release(id, kCauseNormal));
   }
   double last_line_at = replaced ? 0 : last_line_at_;
--- a/src/platform/core_connections.hpp
+++ b/src/platform/core_connections.hpp
@@ -109,6 +109,7 @@
     double connect_timeout_s = 0.5;
     std::size_t max_connections = 8;
     std::uint64_t seed = 0;
+    double proxy_started_at = -kNever;  // s on the monotonic clock
   };
   CoreConnections(ServerId server, const Settings& settings, CoreConnectionsDelegate& delegate,
                   CoreCounters& counters)
@@ -128,6 +129,9 @@
   // ---- From the server list ----
   // In the state ready, connections are kept open. In any other state, no queued set-up may be sent.
   void set_state(ServerEntry::State state, double now);
+  // The start with which this server was listed first. An earlier process may have held calls that callers
+  // report.
+  void listed_with_start(double started_at, StartSource source);
   // A later start of this server was listed than before: what its earlier process held has ended.
   void restarted(double started_at, double now);
   // The address now belongs to another server, whose process started then (0: unknown): no new connection may
@@ -198,7 +202,10 @@
   // Finds the connections that have become doubted, and retires doubted ones that carry no set-up.
   void review_connections(double now);
   void on_connection_doubted(ConnectionId which, double now);
-  bool remove_established(std::uint64_t id);
+  bool remove_established(std::uint64_t id) {
+    missed_ends_.call_safe(id);
+    return established_.erase(id) != 0;
+  }
   // Marks the calls whose ends are written to this connection as at risk or as safe.
   void mark_calls(ConnectionId which, bool at_risk);
   void retire(ConnectionId which, double now);
--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -12,6 +12,7 @@
 
 #include "edge/logging.hpp"
 #include "instance/gossip.hpp"
+#include "platform/log_counters.hpp"
 #include "platform/log_names.hpp"
 
 namespace mintrock::platform {
@@ -66,7 +67,8 @@
       call_manager_(config_.instance.settings, config_.seed, max_calls(config_), *this),
       callers_(*this),
       order_(config_.list_offset),
-      ended_calls_(loop.now() + std::max(longest_deadline(config_), kEndDue), max_calls(config_)) {}
+      started_at_(loop.now()),
+      ended_calls_(started_at_ + std::max(longest_deadline(config_), kEndDue), max_calls(config_)) {}
 
 PlatformEdge::~PlatformEdge() {
   loop_.timers().cancel(timer_);
@@ -571,7 +573,9 @@
     const auto known = cores_.find(id);
     const bool listed_before = known != cores_.end();
     if (entry.state == ServerEntry::State::kGone && !listed_before) continue;
-    CoreServer* const core = listed_before ? &known->second : add_server(id, entry);
+    const bool first_process = !event.update.full && !listed_before && !is_known_identity(entry.identity);
+    const StartSource source = first_process ? StartSource::kFirstProcess : StartSource::kUnknown;
+    CoreServer* const core = listed_before ? &known->second : add_server(id, entry, source);
     if (core == nullptr) continue;
     core->state = entry.state;
     core->connections->set_state(entry.state, now);
@@ -603,7 +607,15 @@
   }));
 }
 
-PlatformEdge::CoreServer* PlatformEdge::add_server(ServerId id, const list::Entry& entry) {
+// Whether the list has told this identity before, also at another address.
+bool PlatformEdge::is_known_identity(const std::string& identity) const {
+  return departed_.contains(identity) || std::any_of(cores_.begin(), cores_.end(), [&](const auto& each) {
+           return each.second.identity == identity;
+         });
+}
+
+PlatformEdge::CoreServer* PlatformEdge::add_server(ServerId id, const list::Entry& entry,
+                                                   StartSource source) {
   CoreServer core;
   core.identity = entry.identity;
   core.started_at = entry.started_at;
@@ -616,8 +628,10 @@
   core.connections = std::make_unique<CoreConnections>(
       id,
       CoreConnections::Settings{config_.connect_timeout_s, budget_.per_server(listed_servers()),
-                                config_.seed + id},
+                                config_.seed + id, started_at_},
       *this, core_counters_);
+  const double started_at = list::monotonic_start(entry.started_at, loop_.now(), net::wall_now());
+  core.connections->listed_with_start(started_at, source);
   return &(cores_[id] = std::move(core));
 }
 
@@ -627,7 +641,7 @@
   const std::optional<list::Entry> entry = departed_.take(identity);
   if (!entry) return nullptr;
   const ServerId id = server_table_.readmit(*entry);
-  CoreServer* const server = add_server(id, *entry);
+  CoreServer* const server = add_server(id, *entry, StartSource::kUnknown);
   if (server == nullptr) return nullptr;
   const double now = loop_.now();
   server->state = ServerEntry::State::kGone;
@@ -658,44 +672,14 @@
 // Logs the proxy's counters, to be compared with those of its core servers and callers.
 void PlatformEdge::log_state() {
   constexpr double kInterval = 10.0;  // s
-  const edge::CallCounters& calls = call_manager_.counters();
-  const CallerCounters& callers = callers_.counters();
-  const auto text = [](std::uint64_t value) { return std::to_string(value); };
-  log_event(info, "state",
-            {{"offered", text(calls.offered)},
-             {"stood", text(calls.established)},
-             {"refused", text(calls.refused)},
-             {"failed", text(calls.failed)},
-             {"abandoned", text(calls.abandoned)},
-             {"overdue", text(calls.overdue)},
-             {"attempts", text(calls.attempts)},
-             {"timed_out", text(calls.timed_out)},
-             {"cancelled", text(calls.cancelled)},
-             {"ended", text(calls.ended + calls.cut)},
-             {"open", text(call_manager_.pending())},
-             {"standing", text(call_manager_.established())},
-             {"taken_over", text(taken_over_.size())},
-             {"callers", text(callers_.connections())},
-             {"caller_faults", text(callers.faults)},
-             {"closed_for_room", text(callers.evicted)},
-             {"ends_kept", text(callers.ends_queued)},
-             {"ends_offered", text(callers.ends_offered)},
-             {"ends_dropped", text(callers.ends_dropped)},
-             {"ends_repeated", text(callers.ends_resent)},
-             {"core_lost", text(core_counters_.lost)},
-             {"core_refused", text(core_counters_.refused)},
-             {"core_not_up", text(core_counters_.connect_timeouts)},
-             {"core_spoilt", text(core_counters_.unreadable)},
-             {"core_late", text(core_counters_.late_answers)},
-             {"core_doubled", text(core_counters_.duplicate_answers)},
-             {"core_stranger", text(core_counters_.unsolicited_answers)}});
+  log_counters(call_manager_, callers_, core_counters_, taken_over_.size());
   for (const auto& [id, core] : cores_) {
     log_event(info, "core",
               {{"peer", core.identity},
-               {"out", text(core.connections->in_flight())},
-               {"standing", text(core.connections->established())},
-               {"connections", text(core.connections->connections())},
-               {"owed", text(core.connections->pending_releases())}});
+               {"out", std::to_string(core.connections->in_flight())},
+               {"standing", std::to_string(core.connections->established())},
+               {"connections", std::to_string(core.connections->connections())},
+               {"owed", std::to_string(core.connections->pending_releases())}});
   }
   state_timer_ = loop_.after(kInterval, [this] { log_state(); });
 }
--- a/src/platform/platform_edge.hpp
+++ b/src/platform/platform_edge.hpp
@@ -124,7 +124,8 @@
   void remove_departed_servers();
   std::size_t listed_servers() const;  // that are not gone
   // Returns null if the entry's address can't be read.
-  CoreServer* add_server(ServerId id, const list::Entry& entry);
+  CoreServer* add_server(ServerId id, const list::Entry& entry, StartSource source);
+  bool is_known_identity(const std::string& identity) const;
   // Returns the connections to a server, also to one that left the list: calls may stand there.
   CoreConnections* find_connections_or_readmit(const std::string& identity);
   void log_state();       // periodically
@@ -139,6 +140,7 @@
   list::ServerTable server_table_;
   list::DepartedServers departed_;
   list::EventOrder order_;
+  double started_at_;  // s on the monotonic clock
   std::map<ServerId, CoreServer> cores_;
   CoreCounters core_counters_;
   ConnectionId last_connection_ = 0;
--- a/src/platform/process_evidence.cpp
+++ b/src/platform/process_evidence.cpp
@@ -52,6 +52,13 @@
   return std::min({unreachable_at(evidence), silent_at(evidence), replacement_check_at(evidence)});
 }
 
+double reported_call_held_since(double started_at, double proxy_started_at, double now) {
+  const bool by_former_process = now < proxy_started_at + kHandoverPeriod;
+  if (by_former_process && started_at > 0 && started_at > proxy_started_at - kHandoverPeriod)
+    return proxy_started_at - kHandoverPeriod;
+  return std::max(started_at, now - kHandoverTime);
+}
+
 const char* name(ProcessEnd end) {
   switch (end) {
     case ProcessEnd::kNone:
--- a/src/platform/process_evidence.hpp
+++ b/src/platform/process_evidence.hpp
@@ -12,6 +12,19 @@
 // | the same for 2 s, if nothing was ever heard      | the same; connections may come up 1 s late         |
 // | silence for 5 s after it left list or address    | a line in that time                                |
 //
+// Which of two processes with one identity holds a call that its caller reports depends on whether the proxy
+// that set the call up was still there at the later start, to learn of it and to end the earlier process's
+// calls:
+//
+// | the latest start listed                       | the call is reported   | it is held by | | none, or with
+// the identity itself             | at any time            | the present process                   | |
+// kHandoverPeriod or more before this proxy's   | at any time            | the present process | | after
+// that, before or after this proxy's      | within kHandoverPeriod | the earlier one: what set it up may   |
+// |                                               | of this proxy's start  | have been gone. It is released,
+// too   | | while this proxy ran                          | later, by the caller   | the present process, if
+// it started    | |                                               | of another proxy       | kHandoverTime
+// ago or was listed then  |
+//
 // What a process sends itself outweighs what the list tells of it, which is late. Age outweighs a sign of
 // life: 5 s without another one, since the end of a call must be reported to its caller within 8 s.
 //
@@ -28,6 +41,23 @@
 // The same for a process that this proxy has not heard since it started: it may have been lost before.
 constexpr double kUnheardTimeout = 2.0;  // s
 constexpr double kNever = std::numeric_limits<double>::infinity();
+// After a restart a proxy is ready within this time, and then its callers report their calls. So long before
+// its start its former process may have ended.
+constexpr double kHandoverPeriod = 10.0;  // s
+// A call that its caller reports was established at most this long before, unless the proxy that set it up
+// had the time to learn of the server's restart itself: list updates are up to 5 s late.
+constexpr double kHandoverTime = 5.0;  // s
+
+// What the list tells of an identity's earlier processes.
+enum class StartSource {
+  kFirstProcess,  // the list added the identity: there was none
+  kUnknown,       // a whole list had the identity with its start: there may have been one
+};
+
+// Returns a time at which the process that holds a call ran, if the call's caller reports it at `now`. The
+// latest start listed of the server's process is `started_at` (0: long ago), and this proxy started at
+// `proxy_started_at`. All times are in seconds on the monotonic clock.
+double reported_call_held_since(double started_at, double proxy_started_at, double now);
 
 // How the connection that has just been removed ended.
 enum class ConnectionEnd { kNone, kRefused, kClosedWithoutLine, kOther };
--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -1004,6 +1004,48 @@
   EXPECT_TRUE(fixture.until([&] { return caller.received.size() == 1; }));
 }
 
+// Review, case 9: a core server restarted while the proxy was down, and the list that the proxy began with
+// had that start. A call that the earlier process had held was taken for one that stands, for good. One that
+// truly stands must be kept if the server's start is long past, or is that of a server that is new in the
+// list.
+TEST(PlatformEdge, CallReportedAfterARestartDependsOnTheAgeOfTheServersStart) {
+  struct Case {
+    const char* name;
+    double age_s;     // of the server's start, when the proxy starts
+    bool new_server;  // added to the list by a later event
+    bool ended;
+  };
+  for (const Case& each : {Case{"a second", 1, false, true}, Case{"nine seconds", 9, false, true},
+                           Case{"ten seconds", 10, false, false}, Case{"a minute", 60, false, false},
+                           Case{"an hour", 3600, false, false}, Case{"new, two seconds", 2, true, false}}) {
+    Fixture fixture(256, [&](json& config, Fixture&) {
+      json& batch = config["known"]["batch"];
+      json host = batch[0]["topology"]["hosts"][0];
+      const double started_at = net::wall_now() - each.age_s;
+      if (each.new_server) {
+        batch[0]["topology"]["hosts"] = json::array();
+        batch.push_back({{"offset", 2}, {"topology", {{"seq", 1}, {"whole", false}, {"hosts", {host}}}}});
+        config["known"]["offset"] = 2;
+      }
+      batch.back()["topology"]["hosts"][0]["born_ms"] = static_cast<std::int64_t>(started_at * 1000);
+    });
+    Caller caller(fixture.loop, fixture.edge->listening());
+    caller.setup(7, "status", "1500", "at:s-1");
+    const double reported = fixture.loop.now();
+    const bool told = fixture.until([&] { return caller.count(12) == 1; }, each.ended ? 8 : 1.5);
+    EXPECT_EQ(told, each.ended) << each.name;
+    if (each.ended) {
+      EXPECT_LT(fixture.loop.now(), reported + 1) << each.name;
+      EXPECT_TRUE(fixture.until([&] { return fixture.core.count("release") == 1; }))
+          << "the server must not hold on to it: " << each.name;
+      continue;
+    }
+    EXPECT_EQ(fixture.core.count("release"), 0u) << each.name;
+    fixture.core.send(0, R"({"type":"release","id":"0000000000000007","fields":{},"cause":16})");
+    EXPECT_TRUE(fixture.until([&] { return caller.count(12) == 1; })) << each.name;
+  }
+}
+
 // ---- Callers that left ----
 
 // Once the caller has closed, reset or cancelled, no attempt starts for a set-up that is in flight or queued
--- a/tests/platform/process_evidence_test.cpp
+++ b/tests/platform/process_evidence_test.cpp
@@ -160,5 +160,32 @@
   }
 }
 
+// Review, case 9: what set a call up may have been gone when the server's process was replaced.
+TEST(ProcessEvidence, HolderOfAReportedCallDependsOnWhoCouldLearnOfTheStart) {
+  struct Case {
+    const char* name;
+    double started_at;        // of the server's latest process, as listed
+    double proxy_started_at;  // of this proxy
+    double reported_at;
+    bool earlier_process;  // held by it
+  };
+  constexpr double kLongAgo = 0;
+  for (const Case& each :
+       {Case{"no start listed", kLongAgo, 100, 101, false}, Case{"1 s before the proxy", 99, 100, 101, true},
+        Case{"9.9 s before it", 90.1, 100, 109, true}, Case{"ten seconds before it", 90, 100, 101, false},
+        Case{"a minute before it", 40, 100, 101, false}, Case{"an hour before it", 40, 3640, 3641, false},
+        Case{"after it, then reported", 100.5, 100, 102, true},
+        Case{"reported, then after it", 103, 100, 102, true},
+        Case{"1 s before it, reported late by another proxy's caller", 99, 100, 110.5, false},
+        Case{"long after it, listed before the report", 200, 100, 201, false},
+        Case{"long after it, soon after the report", 203, 100, 202, true},
+        Case{"long after it, a little before the report, listed later", 200, 100, 210, false}}) {
+    const double listed_at_report = each.started_at <= each.reported_at ? each.started_at : kLongAgo;
+    const double held_since =
+        reported_call_held_since(listed_at_report, each.proxy_started_at, each.reported_at);
+    EXPECT_EQ(held_since < each.started_at, each.earlier_process) << each.name;
+  }
+}
+
 }  // namespace
 }  // namespace mintrock::platform
