A set-up whose id may have run already is answered as failed and not sent again

Cause: an id was compared with open and established calls only.

Change: EndedCalls keeps for each closed call whether it may have run; a set-up of such an id gets one answer, failed. Ids that were never sent to a core server may come again.

--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -263,6 +263,10 @@
   if (found_class == config_.class_names.end()) return "unknown class";
   if (call_ids_.count(setup.id) != 0 || taken_over_.count(setup.id) != 0)
     return "duplicate id: the call is established or in progress";
+  if (ended_calls_.may_have_run(setup.id)) {
+    callers_.refuse(setup.id, kCauseTemporaryFailure, {}, loop_.now());
+    return nullptr;
+  }
   // The set-up is measured with the longest time value; a core server closes the connection on a larger
   // message.
   constexpr std::uint32_t kMaxTimeLeftMs = 4294967295u;
--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -10,6 +10,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
@@ -1072,5 +1073,48 @@
   }
 }
 
+// A caller closes or resets its connection, at any stage of many set-ups, and some of their ids come again on
+// another one (the users' picture (c)): they used to run a second time.
+TEST(PlatformEdge, IdThatComesAgainAfterItsCallerLeftRunsAtMostOnce) {
+  for (const int stage_ms : {0, 1, 5, 20, 50}) {
+    for (const bool reset : {false, true}) {
+      Fixture fixture;
+      std::map<std::string, std::size_t> arrived;
+      double last_arrival = 0;
+      fixture.core.reply = [&](std::size_t index, const std::string& id) {
+        arrived[id] += 1;
+        last_arrival = fixture.loop.now();
+        fixture.loop.after(0.01, [&, index, id] { fixture.core.answer(index, id); });
+      };
+      Caller caller(fixture.loop, fixture.edge->listening());
+      constexpr std::uint64_t kSetups = 200, kAgain = 50;
+      std::string bytes;
+      for (std::uint64_t id = 1; id <= kSetups; ++id) bytes += Caller::setup_bytes(id);
+      caller.stream->write(bytes);
+      double left = 0;
+      fixture.loop.after(0.001 * stage_ms, [&] {
+        left = fixture.loop.now();
+        if (reset) caller.stream->reset();
+        if (!reset) caller.stream->close_after_flush();
+      });
+      fixture.until([&] { return left > 0 && fixture.loop.now() > left + 0.3; });
+      EXPECT_LT(last_arrival, left + 0.15) << "sent on for a caller that has left";
+      std::set<std::string> ran;
+      for (const auto& [id, times] : arrived) ran.insert(id);
+      Caller next(fixture.loop, fixture.edge->listening());
+      for (std::uint64_t id = 1; id <= kAgain; ++id) next.setup(id);
+      // Three ids of calls that stand are taken for faults, and close the connection.
+      ASSERT_TRUE(fixture.until([&] { return next.received.size() == kAgain || next.closed; }, 20));
+      for (const Caller::Message& each : next.received) {
+        EXPECT_EQ(next.count_of(each.call), 1u) << each.call;
+        if (ran.count(hex_id(each.call)) != 0) {
+          EXPECT_EQ(each.type, 12) << each.call;
+        }
+      }
+      for (const auto& [id, times] : arrived) EXPECT_EQ(times, 1u) << id << " after " << stage_ms << " ms";
+    }
+  }
+}
+
 }  // namespace
 }  // namespace mintrock::platform
