--- a/src/lab/soak/edge_process.hpp
+++ b/src/lab/soak/edge_process.hpp
@@ -33,6 +33,7 @@
   void start(const nlohmann::json& config);
   void signal(int number) const;
   bool running() const { return pid_ > 0; }
+  pid_t pid() const { return pid_; }  // 0: not running
   // The last line of the log; empty if there is none.
   std::string last_log_line() const;
   // The exit status, as waitpid gives it, once the process has ended; returned only once.
