Established calls no longer keep the memory of their answers

Cause, the first of two: a call that stands kept its answer's memory, as std::string::clear() does: 15 KB for each of 2,048 calls. Found by what grew: the resident size followed the calls that stood, and stayed after the load. Ruled out: answers that callers don't read (62.1 MB, no more than with callers that read) and half-sent messages (10.9 MB).

Change: the texts are freed when the call stands.

--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -134,9 +134,8 @@
       call.server = result.server;
       log_event(info, "stands", {{"call", hex_id(call.id)}, {"peer", identity(result.server)}});
       callers_.answer(call.id, call.answer, now);
-      call.answer.clear();
-      call.description.clear();
-      call.description.shrink_to_fit();
+      std::string().swap(call.answer);  // a standing call holds none of its texts; clear() keeps their memory
+      std::string().swap(call.description);
       return;
     case edge::SetupResult::Kind::kRefused: {
       log_event(info, "refused", {{"call", hex_id(call.id)}, {"detail", result.reason}});
--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <gtest/gtest.h>
+#include <malloc.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -17,6 +18,10 @@
 
 #include "instance/gossip.hpp"
 
+#ifdef __SANITIZE_ADDRESS__
+extern "C" std::size_t __sanitizer_get_current_allocated_bytes();
+#endif
+
 namespace mintrock::platform {
 namespace {
 
@@ -1116,5 +1121,40 @@
   }
 }
 
+// ---- Memory ----
+
+// Bytes that this process has allocated and not freed.
+std::size_t allocated_bytes() {
+#ifdef __SANITIZE_ADDRESS__
+  return __sanitizer_get_current_allocated_bytes();
+#else
+  return mallinfo2().uordblks;
+#endif
+}
+
+// The users' picture (a): 60 clients that sent set-ups of 15,000 bytes made a proxy with 32 MB take 71 MB.
+// Its established calls kept the memory of their answers.
+TEST(PlatformEdge, EstablishedCallsKeepNoMemoryOfTheirTexts) {
+  Fixture fixture;
+  const std::string large(15000, 'x');
+  fixture.core.reply = [&](std::size_t index, const std::string& id) {
+    fixture.core.send(index, R"({"type":"answer","id":")" + id + R"(","fields":{},"sdp":")" + large + "\"}");
+  };
+  Caller caller(fixture.loop, fixture.edge->listening());
+  std::size_t before = 0;
+  constexpr std::uint64_t kWarmUp = 20, kCalls = 200;
+  for (std::uint64_t id = 1; id <= kWarmUp + kCalls; ++id) {
+    caller.setup(id, "status", "3000", "dest:0;width:1;via:-1", large.c_str());
+    ASSERT_TRUE(fixture.until([&] { return caller.received.size() == 1; })) << id;
+    ASSERT_EQ(caller.received[0].type, 9) << id;
+    caller.received.clear();
+    fixture.core.received.clear();
+    if (id == kWarmUp) before = allocated_bytes();
+  }
+  EXPECT_EQ(fixture.edge->call_manager().established(), kWarmUp + kCalls);
+  constexpr std::size_t kBytesPerCall = 4096;
+  EXPECT_LT(allocated_bytes(), before + kCalls * kBytesPerCall);
+}
+
 }  // namespace
 }  // namespace mintrock::platform
