Memory is bounded in bytes: waiting set-ups, unsent output and parser buffers

Cause, the second of two: the budget counted calls and connections. The descriptions of all set-ups that wait, the unsent output of each connection (256 KiB) and parsers that kept the size of the largest chunk had no bound together, and the heap stayed in pieces.

Change: MemoryBudget (pure) gives a sixteenth of the limit to descriptions that wait (more are refused, harmless to repeat) and to unsent output of either side; parsers keep the part they wait for; buffers over 32 KB go back to the system when they are freed.

--- a/src/edge/call_manager.hpp
+++ b/src/edge/call_manager.hpp
@@ -119,6 +119,12 @@
   void drain() { draining_ = true; }  // refuses new calls from now on
   // Called at the end of the process: answers every pending call and leaves established calls as they are.
   void answer_pending_calls(double now);
+  // What a caller is told at the most for how long to stay away, in milliseconds; none if the settings allow
+  // none.
+  std::optional<std::uint32_t> max_retry_after_ms() const {
+    if (max_advised_wait() <= 0) return {};
+    return static_cast<std::uint32_t>(1000 * max_advised_wait());
+  }
   void set_max_calls(std::uint32_t max_calls) { max_calls_ = max_calls; }
   // Runs the timers that are due; the next one is due at deadline().
   void tick(double now) {
--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -1,4 +1,6 @@
 // mintrock-edge: the edge proxy's command line.
+#include <malloc.h>
+
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
@@ -48,7 +50,16 @@
   loop.run();
 }
 
+// Large buffers get memory of their own, which goes back to the system when they are freed: the heap would
+// keep it, in pieces, after many connections were busy at once.
+void return_large_buffers() {
+  constexpr int kLargeBuffer = 32 << 10;  // bytes
+  mallopt(M_MMAP_THRESHOLD, kLargeBuffer);
+  mallopt(M_TRIM_THRESHOLD, 4 * kLargeBuffer);
+}
+
 void run_platform() {
+  return_large_buffers();
   const char* const file = std::getenv("LB_CONFIG");
   if (file == nullptr) throw std::runtime_error("LB_CONFIG is not set");
   constexpr double kLogLinesPerSecond = 400;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -262,6 +262,7 @@
   if (unsent() == 0) {
     out_.clear();
     out_offset_ = 0;
+    if (out_.capacity() > kReadSize) out_.shrink_to_fit();  // a peer that did not read for a while
   } else if (out_offset_ > kReadSize) {
     out_.erase(0, out_offset_);
     out_offset_ = 0;
--- a/src/platform/caller_codec.cpp
+++ b/src/platform/caller_codec.cpp
@@ -79,15 +79,22 @@
   return {};
 }
 
+// Connections, of which there can be thousands, keep no more memory than the message that they wait for.
+void MessageParser::discard_parsed() {
+  if (position_ == 0) return;
+  buffer_.erase(0, position_);
+  position_ = 0;
+  if (buffer_.capacity() > 2 * buffer_.size()) buffer_.shrink_to_fit();
+}
+
 std::optional<CallerMessage> MessageParser::next() {
   if (fault_ != nullptr) return std::nullopt;
-  if (position_ > 0 && (position_ == buffer_.size() || position_ >= kMaxMessageSize)) {
-    buffer_.erase(0, position_);
-    position_ = 0;
-    if (buffer_.empty()) buffer_.shrink_to_fit();  // idle connections, which can be thousands, hold no memory
-  }
+  if (position_ == buffer_.size() || position_ >= kMaxMessageSize) discard_parsed();
   const std::string_view rest = std::string_view(buffer_).substr(position_);
-  if (rest.size() < kLengthSize) return std::nullopt;
+  if (rest.size() < kLengthSize) {
+    discard_parsed();
+    return std::nullopt;
+  }
   const std::size_t length = read_u16(rest, 0);
   if (length < kMinLength) {
     fault_ = "length too small";
@@ -97,7 +104,10 @@
     fault_ = "length too large";
     return std::nullopt;
   }
-  if (rest.size() < kLengthSize + length) return std::nullopt;
+  if (rest.size() < kLengthSize + length) {
+    discard_parsed();
+    return std::nullopt;
+  }
   const std::string_view body = rest.substr(kLengthSize, length);
   CallerMessage message;
   message.type = static_cast<std::uint8_t>(body[0]);
--- a/src/platform/caller_codec.hpp
+++ b/src/platform/caller_codec.hpp
@@ -56,8 +56,10 @@
   std::optional<CallerMessage> next();
   const char* fault() const { return fault_; }  // null if none
   bool has_partial_message() const { return position_ < buffer_.size(); }
+  std::size_t buffered() const { return buffer_.capacity(); }  // bytes of memory
 
  private:
+  void discard_parsed();
   std::string buffer_;
   std::size_t position_ = 0;
   const char* fault_ = nullptr;
--- a/src/platform/platform_edge.cpp
+++ b/src/platform/platform_edge.cpp
@@ -28,8 +28,6 @@
 // if the bus was silent.
 constexpr double kBusSilenceTimeout = 2.5;  // s
 
-constexpr std::size_t kMaxUnsent = 256 << 10;  // bytes buffered for a peer that doesn't read
-constexpr std::size_t kCallsPerMegabyte = 64;
 constexpr std::size_t kMaxTakenOver = 20000;
 
 constexpr double kEndDue = 8.0;  // s from the end of a call until its caller must have been told
@@ -39,11 +37,6 @@
 constexpr double kUnlistedTimeout = 6.0;  // s
 constexpr std::size_t kMaxUnlisted = 2048;
 
-std::uint32_t max_calls(const Config& config) {
-  return static_cast<std::uint32_t>(
-      std::min<std::size_t>(config.max_open_calls, config.memory_mb * kCallsPerMegabyte));
-}
-
 // s for which a caller may wait for its answer.
 double longest_deadline(const Config& config) {
   double longest = 0;
@@ -64,11 +57,12 @@
       config_(std::move(config)),
       config_file_(std::move(config_file)),
       budget_(config_.sockets),
-      call_manager_(config_.instance.settings, config_.seed, max_calls(config_), *this),
+      memory_(config_.memory_mb, config_.max_open_calls, budget_),
+      call_manager_(config_.instance.settings, config_.seed, memory_.calls, *this),
       callers_(*this),
       order_(config_.list_offset),
       started_at_(loop.now()),
-      ended_calls_(started_at_ + std::max(longest_deadline(config_), kEndDue), max_calls(config_)) {}
+      ended_calls_(started_at_ + std::max(longest_deadline(config_), kEndDue), memory_.calls) {}
 
 PlatformEdge::~PlatformEdge() {
   loop_.timers().cancel(timer_);
@@ -135,7 +129,7 @@
       log_event(info, "stands", {{"call", hex_id(call.id)}, {"peer", identity(result.server)}});
       callers_.answer(call.id, call.answer, now);
       std::string().swap(call.answer);  // a standing call holds none of its texts; clear() keeps their memory
-      std::string().swap(call.description);
+      drop_description(call);
       return;
     case edge::SetupResult::Kind::kRefused: {
       log_event(info, "refused", {{"call", hex_id(call.id)}, {"detail", result.reason}});
@@ -151,6 +145,11 @@
   }
 }
 
+void PlatformEdge::drop_description(Call& call) {
+  description_bytes_ -= call.description.size();
+  std::string().swap(call.description);
+}
+
 void PlatformEdge::cut(CallId id) {
   const auto found = calls_.find(id);
   if (found != calls_.end()) callers_.report_end(found->second.id, found->second.end_cause, loop_.now());
@@ -188,6 +187,7 @@
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
   ended_calls_.close(found->second.id, found->second.may_have_run);
+  drop_description(found->second);
   call_ids_.erase(found->second.id);
   calls_.erase(found);
 }
@@ -212,7 +212,7 @@
     const ConnectionId candidate = callers_.eviction_candidate();
     if (candidate != 0) callers_.evict(candidate);
   }
-  const auto stream = net::Stream::adopt(loop_, fd, from, kMaxUnsent);
+  const auto stream = net::Stream::adopt(loop_, fd, from, memory_.caller_unsent);
   if (caller_streams_.size() + loop_.closing_streams() >= budget_.callers) return stream->close();
   const ConnectionId id = ++last_connection_;
   caller_streams_[id] = stream;
@@ -274,8 +274,14 @@
               .size() > kMaxMessageSize) {
     return "set-up too large to forward";
   }
+  if (description_bytes_ + setup.description.size() > memory_.descriptions) {
+    log_event(info, "refused", {{"call", hex_id(setup.id)}, {"detail", "no memory"}});
+    callers_.refuse(setup.id, kCauseCongestion, call_manager_.max_retry_after_ms(), loop_.now());
+    return nullptr;
+  }
   const CallId id = call_manager_.next_call_id();
   call_ids_[setup.id] = id;
+  description_bytes_ += setup.description.size();
   Call& call = calls_[id];
   call.id = setup.id;
   call.service_class = std::move(setup.service_class);
@@ -389,7 +395,7 @@
   if (!is_reading_core_servers()) return id;  // it never comes up
   std::shared_ptr<net::Stream> stream;
   try {
-    stream = net::Stream::connect(loop_, cores_.at(server).address, kMaxUnsent);
+    stream = net::Stream::connect(loop_, cores_.at(server).address, memory_.core_unsent);
   } catch (const std::exception& error) {  // no file descriptor is available
     log_event(warn, "core_connect_failed", {{"detail", error.what()}});
     loop_.defer([this, id, server] {
--- a/src/platform/platform_edge.hpp
+++ b/src/platform/platform_edge.hpp
@@ -22,6 +22,7 @@
 #include "platform/core_connections.hpp"
 #include "platform/descriptor_budget.hpp"
 #include "platform/ended_calls.hpp"
+#include "platform/memory_budget.hpp"
 #include "platform/shutdown_sequence.hpp"
 
 namespace mintrock::platform {
@@ -107,6 +108,7 @@
   void core_message_received(ServerId server, ConnectionId from, const CoreMessage& message,
                              MessageOwner owner) override;
 
+  void drop_description(Call& call);
   void on_accept(int fd, net::Address from);
   void on_event(const list::SseEvent& event);
   void apply_update(const TopologyEvent& event);
@@ -135,6 +137,7 @@
   Config config_;
   std::string config_file_;
   DescriptorBudget budget_;
+  MemoryBudget memory_;
   edge::CallManager call_manager_;
   CallerSide callers_;
   list::ServerTable server_table_;
@@ -147,6 +150,7 @@
   std::unordered_map<ConnectionId, std::shared_ptr<net::Stream>> caller_streams_;
   std::unordered_map<ConnectionId, CoreStream> core_streams_;
   std::unordered_map<CallId, Call> calls_;
+  std::size_t description_bytes_ = 0;  // of calls_
   std::unordered_map<std::uint64_t, CallId> call_ids_;
   std::unordered_map<std::uint64_t, ServerId> taken_over_;  // calls established before this process started
   // The entries of taken_over_ at servers that are not listed yet; their ServerId is 0 meanwhile.
--- a/tests/platform/caller_codec_test.cpp
+++ b/tests/platform/caller_codec_test.cpp
@@ -192,5 +192,24 @@
     EXPECT_FALSE(read_hex_id(bad));
 }
 
+// Many connections, each with a part of a large message, must not keep the buffers of what came before it.
+TEST(CallerCodec, ParserKeepsLittleMoreThanThePartOfAMessage) {
+  MessageParser parser;
+  const std::string whole =
+      write_message(CallerMessageType::kSetup, 7, {{Parameter::kDescription, std::string(15000, 'x')}});
+  std::string chunk = whole + whole + whole + whole;
+  chunk += whole.substr(0, 100);
+  parser.feed(chunk);
+  std::size_t messages = 0;
+  while (parser.next()) messages += 1;
+  EXPECT_EQ(messages, 4u);
+  EXPECT_TRUE(parser.has_partial_message());
+  EXPECT_LE(parser.buffered(), 1024u);
+  parser.feed(whole.substr(100));
+  EXPECT_TRUE(parser.next());
+  EXPECT_FALSE(parser.next());
+  EXPECT_LE(parser.buffered(), 1024u);
+}
+
 }  // namespace
 }  // namespace mintrock::platform
--- a/tests/platform/platform_edge_test.cpp
+++ b/tests/platform/platform_edge_test.cpp
@@ -1156,5 +1156,35 @@
   EXPECT_LT(allocated_bytes(), before + kCalls * kBytesPerCall);
 }
 
+// The same: what is not answered yet is bounded in bytes, not only in calls. 32 MB allow 2,048 calls and 2 MB
+// of descriptions.
+TEST(PlatformEdge, SetupsThatWaitAreBoundedInBytes) {
+  Fixture fixture;
+  fixture.core.reply = {};
+  const std::string large(15000, 'x');
+  Caller caller(net::Stream::connect(fixture.loop, fixture.edge->listening(), 64 << 20));
+  constexpr std::uint64_t kSetups = 600;
+  for (std::uint64_t id = 1; id <= kSetups; ++id)
+    caller.setup(id, "status", "3000", "dest:0;width:1;via:-1", large.c_str());
+  constexpr std::size_t kAllowed = (std::size_t{2} << 20) / 15000;
+  std::size_t most = 0;
+  ASSERT_TRUE(fixture.until([&] {
+    most = std::max(most, fixture.edge->call_manager().pending());
+    return caller.received.size() >= kSetups - kAllowed;
+  }));
+  EXPECT_LE(most, kAllowed);
+  EXPECT_GT(most, kAllowed / 2) << "the set-ups came faster than they were refused for other reasons";
+  for (const Caller::Message& each : caller.received) EXPECT_EQ(each.cause, kCauseCongestion);
+  ASSERT_TRUE(fixture.until([&] { return caller.received.size() == kSetups; })) << "the others, once overdue";
+  caller.received.clear();
+  fixture.core.reply = [&](std::size_t index, const std::string& id) { fixture.core.answer(index, id); };
+  ASSERT_TRUE(fixture.until([&] {
+    const std::uint64_t id = kSetups + caller.received.size() + 1;
+    if (fixture.edge->calls() == 0)
+      caller.setup(id, "status", "3000", "dest:0;width:1;via:-1", large.c_str());
+    return caller.count(9) == 1;
+  })) << "there is room again";
+}
+
 }  // namespace
 }  // namespace mintrock::platform
