A set-up that still waits makes its connection doubted after 4 s instead of 1.5 s

Need: a busy core server may take up to 3 s for an answer, and its states come on four connections only. On a fifth, a set-up that waits that long was a doubt, and each doubt begins a connection for the ends that may be owed.

Change: 1.5 s of silence count once a set-up on the connection was given up, 4 s while it waits, which still leaves an end its 8 s.

--- a/src/platform/connection_health.hpp
+++ b/src/platform/connection_health.hpp
@@ -14,9 +14,10 @@
 // | event                                               | new     | proven  | doubted |
 // | a whole line, also an answer that came too late     | proven  | proven  | proven  |
 // | a part of a line                                    | new     | proven  | doubted |
-// | kAnswerSilence after the last line or, if later,    | doubted | doubted | doubted |
-// | the first set-up that waits or was given up since;  |         |         |         |
-// | the server has sent a line on another connection    |         |         |         |
+// | kGivenUpSilence after the last line or, if later,   | doubted | doubted | doubted |
+// | the first set-up that was given up since, or        |         |         |         |
+// | kWaitingSilence after one that still waits; the     |         |         |         |
+// | server has sent a line on another connection        |         |         |         |
 // | the same, but the server was silent throughout      | new     | proven  | doubted |
 // | a line that can't be read                           | closed  | closed  | closed  |
 //
@@ -32,9 +33,11 @@
 class ConnectionHealth {
  public:
   enum class State { kNew, kProven, kDoubted };
-  // A connection with a set-up that waits, or that was given up, is doubted when it has carried no line for
-  // this long.
-  static constexpr double kAnswerSilence = 1.5;  // s
+  // How long a connection may carry no line once a set-up on it was given up.
+  static constexpr double kGivenUpSilence = 1.5;  // s
+  // The same while a set-up waits: a busy server may take some seconds, and states come on a few connections
+  // only.
+  static constexpr double kWaitingSilence = 4.0;  // s
 
   void setup_written(double now) {
     if (!is_owed_an_answer()) silent_since_ = now;
@@ -71,7 +74,8 @@
  private:
   bool is_owed_an_answer() const { return waiting_ > 0 || given_up_; }
   double doubted_at() const {
-    return is_owed_an_answer() ? silent_since_ + kAnswerSilence : std::numeric_limits<double>::infinity();
+    if (!is_owed_an_answer()) return std::numeric_limits<double>::infinity();
+    return silent_since_ + (given_up_ ? kGivenUpSilence : kWaitingSilence);
   }
 
   State state_ = State::kNew;
